Let the first request in line look again at each answer of its service

Change: a whole answer wakes the first waiter of the service's line. Test: TestAnswerLetsTheFirstInLineLookAgain, not woken in 20 s without the change.

--- a/internal/gateway/learn.go
+++ b/internal/gateway/learn.go
@@ -17,6 +17,7 @@
 		c.g.works.observe(c.route, answer.Latency, chosen.expected, len(answer.Body))
 	}
 	c.learnLoad(s, answer, now)
+	c.g.lines.of(c.service.Name).wakeFirst()
 }
 
 func (c *call) learnLoad(s *server, answer *backend.Answer, now time.Time) {
--- a/internal/gateway/line.go
+++ b/internal/gateway/line.go
@@ -42,7 +42,7 @@
 // waiter is one request in a line.
 type waiter struct {
 	rank rank
-	turn chan struct{} // receives once the waiter may have become the first
+	turn chan struct{} // receives when the waiter may have become the first, or a slot may be free
 }
 
 // line is the requests of one service that wait at this host, the first in rank first. Its lock is a
@@ -71,11 +71,23 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.waiters = slices.DeleteFunc(l.waiters, func(o *waiter) bool { return o == w })
-	if len(l.waiters) > 0 {
-		select {
-		case l.waiters[0].turn <- struct{}{}:
-		default:
-		}
+	l.wakeFirstLocked()
+}
+
+// wakeFirst has the first waiter look for a server now, since one may have a free slot.
+func (l *line) wakeFirst() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wakeFirstLocked()
+}
+
+func (l *line) wakeFirstLocked() {
+	if len(l.waiters) == 0 {
+		return
+	}
+	select {
+	case l.waiters[0].turn <- struct{}{}:
+	default:
 	}
 }
 
@@ -86,7 +98,7 @@
 	return l.waiters[0] == w
 }
 
-// wait returns after d, when the waiter may have become the first, or when ctx ends.
+// wait returns after d, when the waiter should look again, or when ctx ends.
 func (l *line) wait(ctx context.Context, w *waiter, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/gateway/line_test.go
+++ b/internal/gateway/line_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -23,19 +24,40 @@
 	}
 }
 
-func TestNextInLineIsWoken(t *testing.T) {
-	l := &line{}
-	first := l.join(rank{})
-	next := l.join(rank{priority: 1})
+// waitInLine starts the wait of a waiter and returns a channel that is closed at its end.
+func waitInLine(l *line, w *waiter) <-chan struct{} {
 	done := make(chan struct{})
 	go func() {
-		l.wait(context.Background(), next, time.Minute)
+		l.wait(context.Background(), w, time.Hour)
 		close(done)
 	}()
-	l.leave(first)
+	return done
+}
+
+func awaitWoken(t *testing.T, done <-chan struct{}) {
+	t.Helper()
 	select {
 	case <-done:
 	case <-time.After(20 * time.Second):
 		t.Fatal("not woken")
 	}
 }
+
+func TestNextInLineIsWoken(t *testing.T) {
+	l := &line{}
+	first := l.join(rank{})
+	done := waitInLine(l, l.join(rank{priority: 1}))
+	l.leave(first)
+	awaitWoken(t, done)
+}
+
+// Pattern: a crest of demand, in which all slots of a service are taken. A slot that an answer frees
+// goes to the first request in line at once, not at its next look.
+func TestAnswerLetsTheFirstInLineLookAgain(t *testing.T) {
+	address, _ := countingServer(t, func() {})
+	c := testCall(t, address, true)
+	l := c.g.lines.of(c.service.Name)
+	done := waitInLine(l, l.join(rank{}))
+	is.New(t).Equal(c.run(t.Context()).Status, http.StatusOK)
+	awaitWoken(t, done)
+}
