Let requests that come before a host's first state wait for it

Cause: after all hosts were killed, callers come back within milliseconds of the start of a host, 0.06 to 0.25 s before it knows a configuration. Ruled out: a shorter Retry-After; it costs the caller one of its few tries. Change: until 0.5 s after its start a host lets such requests wait for the first state; later it refuses them at once, as before, and the log tells how long they waited.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,7 @@
 	metrics *metrics
 	client  *backend.Client
 	crashes *quarantine.Watch
+	first   *firstState
 	fleet   *fleet
 	works   *works
 	lines   *lines
@@ -66,6 +67,7 @@
 	g := &Gateway{
 		cfg:      cfg,
 		metrics:  newMetrics(),
+		first:    newFirstState(time.Now()),
 		fleet:    newFleet(),
 		works:    newWorks(),
 		lines:    newLines(),
@@ -108,6 +110,7 @@
 // Update takes a new view of the registry over. It is called by one goroutine at a time.
 func (g *Gateway) Update(v *registry.View) {
 	g.fleet.update(v)
+	g.first.update(v)
 	counts := &hostCounts{total: len(v.Hosts), bySite: make(map[string]int)}
 	members := member.View{Self: g.cfg.ID}
 	for id, h := range v.Hosts {
@@ -161,6 +164,7 @@
 
 // Serve implements front.Handler.
 func (g *Gateway) Serve(ctx context.Context, r *front.Request) *front.Answer {
+	g.first.await(ctx)
 	c, refused := g.admit(r)
 	if refused != nil {
 		g.metrics.observe("", refused.Status, time.Since(r.Received))
@@ -180,7 +184,8 @@
 	v := g.fleet.load().view
 	id := r.Header.Get(g.cfg.Fields.RequestID)
 	if v.Routes == nil {
-		g.cfg.Events.Record(event.GatewayRefused, event.Fields{Request: id, Detail: "no configuration is known yet"})
+		waited := time.Since(r.Received).Round(time.Millisecond)
+		g.cfg.Events.Record(event.GatewayRefused, event.Fields{Request: id, Detail: "no configuration is known yet; waited for one for " + waited.String()})
 		return nil, refusal(unreadyRetryAfter)
 	}
 	route := v.Routes.Match(r.Host, r.Path)
