Ask servers that tell no load only when they may not be there

Change: once a service has answered a question without a report and never told one, its servers are asked only after a missed probe, an unwell answer, or when an answer is long overdue; no request waits for that, and the probe has the time that a slot may take. Services that tell their load are asked as before.

--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -33,7 +33,7 @@
 			Fields:   Fields{RequestID: "Id", Deadline: "Deadline", ExpectInstance: "Expect-Instance", NotRun: "Not-Run", Signature: "Signature", Load: "Load"},
 			Events:   events,
 		},
-		metrics: newMetrics(), fleet: newFleet(), works: newWorks(), lines: newLines(), slowness: newSlowness(),
+		metrics: newMetrics(), fleet: newFleet(), works: newWorks(), lines: newLines(), slowness: newSlowness(), tellers: newTellers(),
 		budgets: newBudgets(0.2, 10, 1), client: backend.New(backend.Config{}),
 	}
 	t.Cleanup(g.client.Close)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,7 @@
 	lines   *lines
 	// slowness is what to expect of servers that no fresh report tells of.
 	slowness *slowness
+	tellers  *tellers
 	budgets  *budgets
 	front    *front.Server
 
@@ -72,6 +73,7 @@
 		works:    newWorks(),
 		lines:    newLines(),
 		slowness: newSlowness(),
+		tellers:  newTellers(),
 		budgets:  newBudgets(cfg.RetryRatio, cfg.RetrySlack, cfg.MaxHosts),
 		client: backend.New(backend.Config{
 			MaxAnswerBytes: cfg.MaxBodyBytes,
--- a/internal/gateway/learn.go
+++ b/internal/gateway/learn.go
@@ -23,6 +23,7 @@
 func (c *call) learnLoad(s *server, answer *backend.Answer, now time.Time) {
 	if rep, ok := parseLoad(answer.Header.Get(c.g.cfg.Fields.Load)); ok {
 		s.take(rep, now)
+		c.g.tellers.observe(s.target.Service, true)
 	}
 }
 
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -14,6 +14,9 @@
 	// probeTimeout bounds a probe within a data centre; the way to another one comes on top. It leaves
 	// room for a server that takes several milliseconds to answer.
 	probeTimeout = 40 * time.Millisecond
+	// muteProbeTimeout bounds a probe of a server that tells no load, which waits for a slot like a
+	// request: about twice the work of the users' longest requests.
+	muteProbeTimeout = 500 * time.Millisecond
 	// probeShare is the part of the platform's bound on probes that the hosts spend.
 	probeShare = 0.85
 )
@@ -25,11 +28,16 @@
 }
 
 // ask brings the report of a server up to date unless it is fresh, and returns a channel that is
-// closed when the answer is there or overdue. The channel is nil when nothing was asked.
+// closed when the answer is there or overdue. The channel is nil when there is nothing to wait for. A
+// server that tells no load is asked only whether it is there.
 func (g *Gateway) ask(s *server, healthPath string) <-chan struct{} {
 	now := time.Now()
+	mute := g.tellers.mute(s.target.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if mute && (s.probe != nil || !s.doubtfulLocked(now)) {
+		return nil
+	}
 	if s.probe != nil {
 		return s.probe.done
 	}
@@ -48,6 +56,9 @@
 		s.mu.Unlock()
 		close(p.done)
 	})
+	if mute {
+		return nil
+	}
 	return p.done
 }
 
@@ -81,7 +92,11 @@
 )
 
 func (g *Gateway) runProbe(s *server, healthPath string) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout+2*g.way(s))
+	limit := probeTimeout
+	if g.tellers.mute(s.target.Service) {
+		limit = muteProbeTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit+2*g.way(s))
 	defer cancel()
 	g.metrics.probes.WithLabelValues(s.target.Service).Inc()
 	answer, err := g.client.Do(ctx, s.target.Address, &backend.Request{
@@ -102,10 +117,14 @@
 		return
 	}
 	s.heard(answer.Status == http.StatusOK, now)
-	if rep, ok := parseLoad(answer.Header.Get(g.cfg.Fields.Load)); ok {
+	rep, told := parseLoad(answer.Header.Get(g.cfg.Fields.Load))
+	if told {
 		s.take(rep, now)
 		g.slowness.observe(s.target.Service, rep.Slowness)
 	}
+	if told || answer.Status == http.StatusOK {
+		g.tellers.observe(s.target.Service, told)
+	}
 }
 
 // noteProbeFault leaves a server alone that can't be reached, but not one that had only no free
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -106,14 +106,28 @@
 	return in
 }
 
+// doubtfulLocked tells whether the server may not be there: it missed a probe, says that it takes no work,
+// or owes an answer that should have come.
+func (s *server) doubtfulLocked(now time.Time) bool {
+	return s.misses > 0 || s.unwell || s.lateLocked(now) > overdue
+}
+
+// lateLocked returns the age of the running request that is the latest, in multiples of the time that was
+// expected of it.
+func (s *server) lateLocked(now time.Time) float64 {
+	latest := 0.0
+	for r := range s.running {
+		latest = max(latest, float64(now.Sub(r.at))/float64(max(r.expected, time.Millisecond)))
+	}
+	return latest
+}
+
 // dragLocked returns how much longer than expected the server's answers take, from past answers and
 // from requests that should be over.
 func (s *server) dragLocked(now time.Time) float64 {
 	drag := 1 + decay(s.drag, now.Sub(s.dragAt))
-	for r := range s.running {
-		if late := float64(now.Sub(r.at)) / float64(max(r.expected, time.Millisecond)); late > overdue {
-			drag = max(drag, late/overdue+1)
-		}
+	if late := s.lateLocked(now); late > overdue {
+		drag = max(drag, late/overdue+1)
 	}
 	return min(drag, maxDrag)
 }
--- /dev/null
+++ b/internal/gateway/tellers_test.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bilberryline/bilberryline/internal/outcome"
+	"github.com/bilberryline/bilberryline/internal/registry"
+)
+
+// muteServer answers without telling its load, and counts the questions for it.
+type muteServer struct{ asked atomic.Int64 }
+
+func (m *muteServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health" {
+		m.asked.Add(1)
+		return
+	}
+	w.Header().Set("Signature", "x")
+}
+
+func muteCall(t *testing.T) (*call, *muteServer) {
+	t.Helper()
+	m := &muteServer{}
+	s := httptest.NewServer(m)
+	t.Cleanup(s.Close)
+	address := strings.TrimPrefix(s.URL, "http://")
+	c := testCall(t, address, false)
+	c.g.cfg.Policy = PolicyExpected
+	c.g.cfg.ProbesPerSecond = 1e5
+	c.service.HealthPath = "/health"
+	c.g.fleet.update(&registry.View{Targets: map[string][]*registry.Target{
+		"shop": {{ID: "t1", Service: "shop", Address: address, Site: "a", Slots: 4}},
+	}})
+	t.Cleanup(c.g.background.Wait)
+	return c, m
+}
+
+// Pattern: a service whose servers tell no load. They answer a question for it in a slot, so that questions
+// take the room of requests, and a full server looks lost.
+func TestServersThatTellNoLoadAreNotAskedForIt(t *testing.T) {
+	is := is.New(t)
+	c, m := muteCall(t)
+	for range 10 {
+		next := &call{
+			g: c.g, id: c.id, req: c.req, route: c.route, service: c.service, deadline: c.deadline, header: c.header,
+			outcome: outcome.NewRequestOf(false),
+		}
+		is.Equal(next.run(t.Context()).Status, http.StatusOK)
+	}
+	is.Equal(m.asked.Load(), int64(1))
+}
+
+func TestServerThatTellsNoLoadIsAskedWhetherItIsBack(t *testing.T) {
+	is := is.New(t)
+	c, m := muteCall(t)
+	c.g.tellers.observe("shop", false)
+	s := c.g.fleet.load().byID["t1"]
+	s.unreachable(time.Now())
+	is.True(!s.usable(time.Now()))
+	is.True(c.g.ask(s, "/health") == nil) // no request waits for it
+	c.g.background.Wait()
+	is.Equal(m.asked.Load(), int64(1))
+	is.True(s.usable(time.Now()))
+}
+
+func TestAnswerWithoutLoadDoesNotMuteAServiceThatTellsIt(t *testing.T) {
+	is := is.New(t)
+	tl := newTellers()
+	is.True(!tl.mute("shop")) // unknown
+	tl.observe("shop", true)
+	tl.observe("shop", false)
+	is.True(!tl.mute("shop"))
+	tl.observe("desk", false)
+	is.True(tl.mute("desk"))
+}
