Answer to the last call of a stopping host; leave former relays

Cause, peer: the goroutine that sends a request learns of the end of its write after the bytes have left. Node.Close also closed the connection at once; input that crossed the close reset it and dropped the response that was still in the buffers. Change: Call reads the response although its send is reported as failed by the end of the session. Close ends the output of accepted sessions, goes on reading, and waits for the other hosts to end them, 0.5 s at most.

Cause, registry: a host that chose its relay from a short list of hosts followed it as long as it served. Change: it leaves a relay that is no longer among the first of its data centre, as soon as another source is there.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net"
+	"sync"
 	"sync/atomic"
 )
 
@@ -22,6 +23,9 @@
 	node          *Node
 	lastRead      atomic.Int64 // nanoseconds of the node's clock
 	pendingHeader []byte       // a header that waits for its body; used only by yamux's send loop
+
+	writeMu     sync.Mutex // serializes write and closeWrite
+	writeClosed bool       // closeWrite was called; further writes are discarded
 }
 
 func newConn(c net.Conn, n *Node) *conn {
@@ -57,11 +61,29 @@
 }
 
 func (c *conn) write(b []byte) (int, error) {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	if c.writeClosed {
+		return len(b), nil
+	}
 	n, err := c.Conn.Write(b)
 	c.node.sent.Add(uint64(n))
 	return n, err
 }
 
+// closeWrite ends the stream of bytes to the other side and discards later writes. Reading continues, so that input
+// that crosses the close doesn't reset the connection while the other side still has to read.
+func (c *conn) closeWrite() error {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	c.writeClosed = true
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return half.CloseWrite()
+}
+
 // awaitsBody reports whether b is a yamux header whose body follows and is small enough to be joined with it.
 func awaitsBody(b []byte) bool {
 	if len(b) != muxHeaderSize || b[1] != muxTypeData {
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -15,6 +15,8 @@
 	monitorInterval = 500 * time.Millisecond
 	// unusedLinkTTL is the time after which an unused link without a session is removed.
 	unusedLinkTTL = 10 * time.Minute
+	// closeLinger is how long Close waits for other hosts to read the last responses and to end their sessions.
+	closeLinger = 500 * time.Millisecond
 )
 
 // Node manages the sessions with all other hosts. It implements Caller.
@@ -28,6 +30,7 @@
 	sent, received atomic.Uint64
 	stop           chan struct{}
 	loops          sync.WaitGroup // accept and monitorSessions
+	serving        sync.WaitGroup // accepted connections
 
 	mu              sync.Mutex
 	links           map[string]*link
@@ -89,7 +92,7 @@
 				continue
 			}
 		}
-		go n.serveConn(raw)
+		n.serving.Go(func() { n.serveConn(raw) })
 	}
 }
 
@@ -220,8 +223,8 @@
 	return n.stopped
 }
 
-// Close refuses new exchanges, waits until running handlers have returned or ctx ends, and then closes all
-// sessions. It returns the error of ctx if handlers were still running.
+// Close refuses new exchanges, waits until running handlers have returned or ctx ends, lets the other hosts read the
+// last responses, and then closes all sessions. It returns the error of ctx if handlers were still running.
 func (n *Node) Close(ctx context.Context) error {
 	if !n.beginClose() {
 		return nil
@@ -235,13 +238,38 @@
 	n.setStopped()
 	close(n.stop)
 	_ = n.listener.Close()
+	n.loops.Wait()
+	if err == nil {
+		n.lingerSessions(ctx)
+	}
 	for _, s := range n.allSessions() {
 		s.close()
 	}
-	n.loops.Wait()
 	return err
 }
 
+// lingerSessions ends the output of all accepted sessions and waits until the other hosts, which have then read all
+// responses, have ended them. It returns after closeLinger, or when ctx ends.
+func (n *Node) lingerSessions(ctx context.Context) {
+	for _, s := range n.allSessions() {
+		if !s.dialled {
+			_ = s.conn.closeWrite()
+		}
+	}
+	ended := make(chan struct{})
+	go func() {
+		n.serving.Wait()
+		close(ended)
+	}()
+	timer := time.NewTimer(closeLinger)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func (n *Node) setStopped() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/peer/open.go
+++ b/internal/peer/open.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 
+	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -99,13 +100,19 @@
 // call sends the request with the end frame and receives the response. The caller must end the
 // exchange.
 func (e *exchange) call(req, resp proto.Message) error {
-	if err := e.sendRequest(req); err != nil {
-		return err
+	sendErr := e.sendRequest(req)
+	// When the other host ends the session right after its response, the send of the request may be reported as
+	// failed although the response has been received.
+	if sendErr != nil && !errors.Is(sendErr, yamux.ErrSessionShutdown) {
+		return sendErr
 	}
 	err := e.Recv(resp)
 	if err == nil {
 		return nil
 	}
+	if sendErr != nil {
+		return sendErr
+	}
 	if errors.Is(err, io.EOF) {
 		return &BrokenError{Host: e.remote, Err: ErrNoResponse}
 	}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -27,6 +27,7 @@
 type session struct {
 	node        *Node
 	remote      string
+	dialled     bool // this host dialled the session
 	conn        *conn
 	mux         *yamux.Session
 	counters    *hostCounters
@@ -58,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &session{node: n, remote: remote, conn: c, mux: mux, counters: n.countersFor(remote)}
+	s := &session{node: n, remote: remote, dialled: dialled, conn: c, mux: mux, counters: n.countersFor(remote)}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.lastEnd.Store(n.cfg.Clock.Now().UnixNano())
 	return s, nil
--- a/internal/registry/source.go
+++ b/internal/registry/source.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,7 +41,7 @@
 	for ctx.Err() == nil {
 		r.discoverHosts(ctx)
 		if id := r.findRelay(ctx); id != "" {
-			r.recordSourceEnd(ctx, id, r.follow(ctx, id, true))
+			r.followRelay(ctx, id)
 			continue
 		}
 		if id := r.findRankedBefore(ctx); id != "" {
@@ -152,17 +153,39 @@
 	return err == nil
 }
 
+// followRelay follows a relay until it is lost or is no longer a relay of this host, because hosts that rank before it
+// have joined.
+func (r *Registry) followRelay(ctx context.Context, id string) {
+	follow := func(ctx context.Context) error { return r.follow(ctx, id, true) }
+	replaced := func(ctx context.Context) bool { return !slices.Contains(r.relays(), id) && r.hasOtherSource(ctx) }
+	r.recordSourceEnd(ctx, id, r.runUntil(ctx, replaced, follow))
+}
+
+// hasOtherSource reports whether a host that follows a former relay can follow one of the present relays or, when it
+// is one of them itself, a host that watches the store.
+func (r *Registry) hasOtherSource(ctx context.Context) bool {
+	return r.findRelay(ctx) != "" || len(r.relays()) == 0 && r.findSource(ctx, r.rankedBefore(r.cfg.Self.ID)) != ""
+}
+
 // runUntilBetter runs f, which takes the state from source, and stops it with errBetterSource once a better
 // source is available: a relay for this host, a host ranked before source that watches the store, or the store
 // itself when this host is first in the ranking.
 func (r *Registry) runUntilBetter(ctx context.Context, source string, f func(context.Context) error) error {
+	better := func(ctx context.Context) bool {
+		return r.findRelay(ctx) != "" || r.shouldWatchStore(ctx, source) || r.findSource(ctx, r.rankedBefore(source)) != ""
+	}
+	return r.runUntil(ctx, better, f)
+}
+
+// runUntil runs f and stops it with errBetterSource once better, which it calls periodically, returns true.
+func (r *Registry) runUntil(ctx context.Context, better func(context.Context) bool, f func(context.Context) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	var check sync.WaitGroup
 	defer check.Wait()
 	defer cancel(nil)
 	check.Go(func() {
 		for pause := betterSourceInitialDelay; r.sleep(ctx, pause) == nil; pause = betterSourceInterval {
-			if r.findRelay(ctx) != "" || r.shouldWatchStore(ctx, source) || r.findSource(ctx, r.rankedBefore(source)) != "" {
+			if better(ctx) {
 				cancel(errBetterSource)
 			}
 		}
--- a/internal/registry/source_test.go
+++ b/internal/registry/source_test.go
@@ -202,20 +202,9 @@
 // With many hosts per data centre, only the relays may follow the watcher. In a sweep with 300 hosts, all
 // others followed the watcher, which sent 2 MB per second.
 func TestHostsFollowRelaysOfTheirDataCentre(t *testing.T) {
-	is := is.New(t)
 	f := startFleet(t, "h1", "h2", "h3", "h4", "h5", "h6")
 	ranking := f.hosts["h1"].ranking()
-	followers := func(id string) int {
-		r := f.hosts[id]
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		return len(r.subscribers)
-	}
-	f.await("only the second relay follows the watcher directly and the others follow relays", func(*Registry) bool {
-		sum := followers(ranking[0]) + followers(ranking[1])
-		return f.watchers() == 1 && sum == 5 && len(f.hosts[ranking[5]].relays()) == relaysPerSite
-	})
-	is.Equal(len(f.hosts[ranking[1]].relays()), 0)
+	f.awaitRelays(ranking)
 
 	// After the loss of both relays, the other hosts follow each other or watch the store.
 	for _, lost := range ranking[:relaysPerSite] {
@@ -226,3 +215,38 @@
 	f.store.putConfig(2)
 	f.await("the change is known", func(r *Registry) bool { return f.version(r) == 2 })
 }
+
+// A host may choose its relay while the list of hosts is short, as at the first start of a deployment. It must not stay
+// there when hosts that rank before the relay have joined: the early relay would serve more hosts than intended.
+func TestHostLeavesRelayForThoseThatJoinedLater(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, "h1", "h2", "h3", "h4", "h5", "h6")
+	ranking := f.hosts["h1"].ranking()
+	f.awaitRelays(ranking)
+	early, host := ranking[4], f.hosts[ranking[5]]
+	f.net.Blackhole(early, ranking[1]) // it then follows the watcher as its relay, so that it may be followed itself
+	f.await("the early relay follows the watcher", func(*Registry) bool { return f.hosts[early].Freshness().Relay })
+	ctx, cancel := context.WithTimeout(t.Context(), awaitTimeout)
+	defer cancel()
+	host.followRelay(ctx, early)
+	is.NoErr(ctx.Err())
+}
+
+// followers returns the number of hosts that follow a host.
+func (f *fleet) followers(id string) int {
+	r := f.hosts[id]
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.subscribers)
+}
+
+// awaitRelays waits until the first ranked host watches the store, only the second relay follows it directly, and the
+// others follow the relays. All hosts are in one data centre.
+func (f *fleet) awaitRelays(ranking []string) {
+	f.t.Helper()
+	f.await("only the second relay follows the watcher directly and the others follow relays", func(*Registry) bool {
+		sum := f.followers(ranking[0]) + f.followers(ranking[1])
+		return f.watchers() == 1 && sum == len(ranking)-1 && len(f.hosts[ranking[len(ranking)-1]].relays()) == relaysPerSite
+	})
+	is.New(f.t).Equal(len(f.hosts[ranking[1]].relays()), 0)
+}
