--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -62,6 +62,9 @@
 	if key := idempotencyKey(c.req.Header); key != "" && !c.idempotent {
 		return c.runKeyed(ctx, key)
 	}
+	if !time.Now().Before(c.deadline) {
+		return c.refuse(errorResponse{http.StatusGatewayTimeout, errReadTimeout, ErrDeadlineExceeded.Error(), defaultRetryAfter})
+	}
 	return c.run(ctx)
 }
 
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -77,41 +77,15 @@
 	return resp, expired && c.outcome.Decide() == outcome.NotRun
 }
 
-const (
-	// maxRegistrationWait limits the wait for the registration of a key while its holders change.
-	maxRegistrationWait = 4 * time.Second
-	// registrationRetryInterval is the pause between two attempts to register a key.
-	registrationRetryInterval = 50 * time.Millisecond
-)
-
-// registerKey registers the key. It retries until registrationDeadline while the refusal is transient, for
-// example because the key's holders change or one of them has just died.
+// registerKey registers the key. It retries until registrationDeadline while the verdict is likely to change.
 func (c *call) registerKey(ctx context.Context, key string) (*dedupe.Ticket, dedupe.Verdict, error) {
-	until := c.registrationDeadline()
-	for {
-		ticket, verdict, err := c.h.deduplicator.Begin(ctx, c.dedupeRequest(key))
-		if err != nil || !isTransient(verdict) || time.Now().Add(registrationRetryInterval).After(until) {
-			return ticket, verdict, err
-		}
-		select {
-		case <-ctx.Done():
-			return ticket, verdict, nil
-		case <-time.After(registrationRetryInterval):
-		}
-	}
-}
-
-// isTransient reports whether the cause of a refusal is likely to go away within seconds.
-func isTransient(v dedupe.Verdict) bool {
-	if v.Kind != dedupe.Unavailable {
-		return false
-	}
-	switch v.Reason {
-	case dedupe.ReasonUnreachable, dedupe.ReasonHandover, dedupe.ReasonLeaving, dedupe.ReasonIsolated:
-		return true
-	case dedupe.ReasonTooFewHolders, dedupe.ReasonFull, dedupe.ReasonRecordsLost, dedupe.ReasonDeadlineExceeded:
+	r := keyRegistration{
+		begin: func() (*dedupe.Ticket, dedupe.Verdict, error) {
+			return c.h.deduplicator.Begin(ctx, c.dedupeRequest(key))
+		},
+		until: c.registrationDeadline(),
 	}
-	return false
+	return r.run(ctx)
 }
 
 func (c *call) dedupeRequest(key string) dedupe.Request {
