Take the time of a planned stop from the platform's grace time

Cause: a stop ended after 5.5 s, fitted to a grace time of 6 s. A stop whose limit had passed went on until the deadlines of its bookings, since they are not cancelled with their callers, so that processes were killed at the end of the grace time. At the end the remaining exchanges are cancelled and their callers are told 502 or 503 by what is certain. A process that hangs exits by itself before the kill and logs it.

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -157,7 +157,8 @@
 func (s *Server) Drain() { s.draining.Store(true) }
 
 // Shutdown stops accepting connections, closes idle ones and waits for the requests in flight. If ctx ends first, it
-// closes the remaining connections and returns the number of requests that it aborted.
+// cancels the contexts of the remaining requests, gives their handlers abortWait to respond, closes the connections and
+// returns the number of requests that it aborted.
 func (s *Server) Shutdown(ctx context.Context) (aborted int) {
 	s.Drain()
 	s.stopping.Store(true)
@@ -166,10 +167,19 @@
 		c.startDrain()
 	}
 	aborted = s.waitIdle(ctx)
+	s.cancel()
+	if aborted > 0 {
+		wait, cancel := context.WithTimeout(context.Background(), abortWait)
+		defer cancel()
+		s.waitIdle(wait)
+	}
 	s.stopOnce.Do(s.stop)
 	return aborted
 }
 
+// abortWait is how long Shutdown waits for the responses of handlers whose contexts it has cancelled.
+const abortWait = 100 * time.Millisecond
+
 // stop closes all connections and waits for their read loops and workers.
 func (s *Server) stop() {
 	s.cancel()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -51,6 +51,8 @@
 func (c *call) run(ctx context.Context) *front.Response {
 	ctx, cancel := context.WithDeadlineCause(ctx, c.deadline, ErrDeadlineExceeded)
 	defer cancel()
+	ctx, end := c.untilStopEnds(ctx)
+	defer end(nil)
 	c.g.retryBudgets.recordRequest(c.service.Name)
 	for {
 		res := c.attemptWithHedge(ctx)
@@ -66,6 +68,16 @@
 	}
 }
 
+// untilStopEnds returns a context that ends with ErrStopping when the host has to end its last requests.
+func (c *call) untilStopEnds(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(c.g.stop.ended, func() { cancel(ErrStopping) })
+	return ctx, func(cause error) {
+		stop()
+		cancel(cause)
+	}
+}
+
 // attemptOptions configures an attempt.
 type attemptOptions struct {
 	// place chooses the server.
@@ -122,7 +134,7 @@
 // reserveFailover reports whether a request in flight at a server that is down may be sent to another one. If so,
 // it charges the retry budget for that send.
 func (c *call) reserveFailover() bool {
-	if c.g.stopping.Load() || c.sendsLeft() < 1 || time.Until(c.deadline) < c.unloadedLatency() || !c.g.retryBudgets.spendRetry(c.service.Name, time.Now()) {
+	if c.sendsLeft() < 1 || time.Until(c.g.stop.limit(c.deadline)) < c.unloadedLatency() || !c.g.retryBudgets.spendRetry(c.service.Name, time.Now()) {
 		return false
 	}
 	c.resendReserved.Store(true)
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -28,6 +28,10 @@
 	ErrOtherAttemptWon ConstError = "another attempt of the request was answered first"
 	// ErrHedgeBudgetExhausted means that the retry budget allows no hedge now.
 	ErrHedgeBudgetExhausted ConstError = "the retry budget allows no hedge of the request now"
+	// ErrStopping means that the host stops and can't wait for the response any longer.
+	ErrStopping ConstError = "the host stops"
+	// ErrGoroutinesLeft means that goroutines were still running at the end of a graceful stop.
+	ErrGoroutinesLeft ConstError = "goroutines were still running at the end of the stop"
 	// ErrDeregistered means that a server was deregistered after it was chosen and before the request was sent.
 	ErrDeregistered ConstError = "the backend server is no longer registered"
 )
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -75,13 +75,13 @@
 }
 
 // exchangeContext returns the context of an exchange. A non-idempotent request is not cancelled when the caller
-// disconnects, so that its outcome is known; only the deadline ends it.
+// disconnects, so that its outcome is known; only the deadline or the end of a stopping host ends it.
 func (c *call) exchangeContext(callerCtx context.Context) (context.Context, context.CancelCauseFunc) {
 	if c.route.Idempotent {
 		return context.WithCancelCause(callerCtx)
 	}
 	ctx, stop := context.WithDeadlineCause(context.WithoutCancel(callerCtx), c.deadline, ErrDeadlineExceeded)
-	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, cancel := c.untilStopEnds(ctx)
 	return ctx, func(cause error) {
 		cancel(cause)
 		stop()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,7 +51,7 @@
 	front         *front.Server
 
 	hostsBySite atomic.Pointer[hostCounts] // nil before the first Update
-	stopping    atomic.Bool
+	stop        *stopWindow
 	background  sync.WaitGroup     // short-lived goroutines, such as probes and attempts
 	loops       sync.WaitGroup     // goroutines that run until cancel is called
 	cancel      context.CancelFunc // stops the loops
@@ -69,6 +69,7 @@
 		cfg:           cfg,
 		metrics:       newMetrics(),
 		startup:       newStartupGate(time.Now()),
+		stop:          newStopWindow(),
 		fleet:         newFleet(),
 		routeStats:    newRouteStats(),
 		queues:        newWaitQueues(),
@@ -159,7 +160,7 @@
 // stopping.
 func (g *Gateway) Ready() bool {
 	v := g.fleet.load().view
-	return !g.stopping.Load() && v.Routes != nil && len(v.Targets) > 0
+	return !g.stop.isStopping() && v.Routes != nil && len(v.Targets) > 0
 }
 
 // MetricsHandler returns a handler that serves the metrics in the Prometheus text format.
@@ -209,6 +210,10 @@
 		header:   r.Header.Clone(),
 		outcome:  outcome.NewRequestWithIdempotency(route.Idempotent),
 	}
+	if expected := time.Duration(acceptFactor * float64(c.unloadedLatency())); !g.stop.fits(expected, time.Now()) {
+		c.log(event.GatewayRefused, "", "the host stops before the response is expected")
+		return nil, refusal(otherHostRetryAfter)
+	}
 	front.DropHopByHop(c.header)
 	c.fingerprint = quarantine.NewFingerprint("", service.Name, r.Method, r.URI, r.Body)
 	return c, nil
--- a/internal/gateway/give_up.go
+++ b/internal/gateway/give_up.go
@@ -22,6 +22,8 @@
 	// shedRetryAfter is the Retry-After when a server with free slots declined a request and the request can't be sent
 	// again. The caller needn't wait for the load to drop, since most other servers would accept the request.
 	shedRetryAfter = 20 * time.Millisecond
+	// otherHostRetryAfter is the Retry-After when any other host can serve the request.
+	otherHostRetryAfter = 20 * time.Millisecond
 	// unreadyRetryAfter is the Retry-After while there is no configuration or it may be outdated.
 	unreadyRetryAfter = 500 * time.Millisecond
 )
@@ -51,6 +53,8 @@
 	var noServer *NoServerError
 	var refused *RefusedError
 	switch {
+	case errors.Is(err, ErrStopping):
+		pause = otherHostRetryAfter
 	case errors.As(err, &refused) && refused.HadFreeSlots:
 		pause = shedRetryAfter
 	case errors.As(err, &noServer) && noServer.Expected > 0:
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -101,9 +101,9 @@
 	return max(late, latest)
 }
 
-// mayHedge reports whether there is another send and enough time left for a hedge.
+// mayHedge reports whether there is another send and enough time left for a hedge, also before the host has stopped.
 func (c *call) mayHedge() bool {
-	return !c.g.stopping.Load() && c.sendsLeft() > 0 && time.Until(c.deadline) > c.unloadedLatency()
+	return c.sendsLeft() > 0 && time.Until(c.g.stop.limit(c.deadline)) > c.unloadedLatency()
 }
 
 // logHedge counts and logs the send of a hedge.
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -30,9 +30,9 @@
 
 // Stop shuts the gateway down gracefully: it fails the readiness check, keeps serving for the drain delay, waits for
 // the requests in flight, and closes all connections. It returns the number of requests that were still in flight when
-// ctx was done.
+// ctx was done; their callers have been told the outcome, as far as they read it within a moment.
 func (g *Gateway) Stop(ctx context.Context) (cut int) {
-	g.stopping.Store(true)
+	g.stop.begin(ctx)
 	g.front.Drain()
 	g.cfg.Events.Record(event.ProcessStopping, event.Fields{})
 	select {
@@ -45,9 +45,28 @@
 		g.cfg.Events.RecordError(event.ProcessCutOff, event.Fields{}, &CutOffError{Requests: cut})
 		return cut
 	}
-	g.background.Wait()
-	g.loops.Wait()
-	g.client.Close()
+	if !g.waitGoroutines(ctx) {
+		g.cfg.Events.RecordError(event.ProcessCutOff, event.Fields{}, ErrGoroutinesLeft)
+		return 0
+	}
 	g.cfg.Events.Record(event.ProcessStopped, event.Fields{})
 	return 0
 }
+
+// waitGoroutines waits until all goroutines of the gateway have ended and closes the connections to backend servers. It
+// returns false if ctx ends before. No caller is affected then.
+func (g *Gateway) waitGoroutines(ctx context.Context) bool {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		g.background.Wait()
+		g.loops.Wait()
+		g.client.Close()
+	}()
+	select {
+	case <-ended:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
