Bound what a backend server may send without end

A server that sent head bytes, interim responses or responses to other requests without end was read until the deadline. bilberry-entry took any response that came next on a connection for the answer. Change: the client bounds the header (64 KiB with interim responses), the number of skipped responses (4) and the bytes of all responses that are being read, except the first 64 KiB of each, which always pass. The connection is closed, the server counted as faulty, and the caller told that the outcome is unknown. bilberry-entry skips responses that echo the traceparent of another request.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -14,6 +14,7 @@
 type Client struct {
 	cfg    Config
 	dialer net.Dialer
+	budget bufferBudget
 	done   chan struct{}
 	wg     sync.WaitGroup
 
@@ -29,6 +30,7 @@
 	return &Client{
 		cfg:    cfg,
 		dialer: net.Dialer{Timeout: cfg.DialTimeout},
+		budget: bufferBudget{limit: cfg.MaxBufferedBytes},
 		done:   make(chan struct{}),
 		pools:  make(map[string]*pool),
 	}
--- a/internal/backend/config.go
+++ b/internal/backend/config.go
@@ -6,6 +6,11 @@
 type Config struct {
 	// MaxResponseBytes limits the size of one response, header and body, in bytes. Default 16 MiB.
 	MaxResponseBytes int
+	// MaxHeaderBytes limits the header of one response, together with interim responses (1xx), in bytes. Default 64 KiB.
+	MaxHeaderBytes int
+	// MaxBufferedBytes limits the responses that are being read from all backend servers together, in bytes. Responses
+	// of up to 64 KiB don't count. Default 512 MiB.
+	MaxBufferedBytes int64
 	// DialTimeout limits the time to open a connection. Default 1 s.
 	DialTimeout time.Duration
 	// StallTimeout limits the wait for further bytes once the header of a response was read. Default 10 s.
@@ -19,6 +24,8 @@
 
 const (
 	defaultMaxResponseBytes = 16 << 20
+	defaultMaxHeaderBytes   = 64 << 10
+	defaultMaxBufferedBytes = 512 << 20
 	defaultDialTimeout      = time.Second
 	defaultStallTimeout     = 10 * time.Second
 	defaultIdleTimeout      = 30 * time.Second
@@ -30,6 +37,12 @@
 	if c.MaxResponseBytes <= 0 {
 		c.MaxResponseBytes = defaultMaxResponseBytes
 	}
+	if c.MaxHeaderBytes <= 0 {
+		c.MaxHeaderBytes = defaultMaxHeaderBytes
+	}
+	if c.MaxBufferedBytes <= 0 {
+		c.MaxBufferedBytes = defaultMaxBufferedBytes
+	}
 	setDefault(&c.DialTimeout, defaultDialTimeout)
 	setDefault(&c.StallTimeout, defaultStallTimeout)
 	setDefault(&c.IdleTimeout, defaultIdleTimeout)
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -27,7 +27,7 @@
 }
 
 func newConn(p *pool, raw net.Conn) *conn {
-	buf := newReceiveBuffer(p.client.cfg.MaxResponseBytes)
+	buf := newReceiveBuffer(p.client.cfg.MaxResponseBytes, &p.client.budget)
 	return &conn{pool: p, raw: raw, received: buf, reader: bufio.NewReaderSize(buf, readBufferBytes)}
 }
 
@@ -66,8 +66,8 @@
 	if c.writingBody.Load() {
 		c.earlyResponse.Store(true)
 	}
-	if !c.received.push(data) {
-		c.close(ErrResponseTooLarge)
+	if err := c.received.push(data); err != nil {
+		c.close(err)
 	}
 }
 
@@ -82,6 +82,7 @@
 func (c *conn) exchange(ctx context.Context, req *Request) (resp *Response, reusable bool, err error) {
 	c.busy.Store(true)
 	defer c.busy.Store(false)
+	defer c.received.release()
 	if !c.received.reset() {
 		return nil, false, c.exchangeError(FaultConnectionBroken, false, ErrConnectionLost)
 	}
@@ -112,9 +113,12 @@
 	return resp, reusable, nil
 }
 
+// maxSkippedResponses is the number of responses to earlier requests that are skipped before the connection is given up.
+const maxSkippedResponses = 4
+
 // readResponse reads the response to req and skips responses to earlier requests.
 func (c *conn) readResponse(req *Request) (resp *Response, reusable bool, err error) {
-	skipped := false
+	skipped := 0
 	for {
 		httpResp, err := c.readHeader(req)
 		if err != nil {
@@ -127,12 +131,12 @@
 		}
 		if req.MatchResponse == nil || req.MatchResponse(httpResp.Header) {
 			resp = &Response{Status: httpResp.StatusCode, Header: httpResp.Header, Body: body}
-			return resp, !httpResp.Close && !closeDelimited && !skipped, nil
+			return resp, !httpResp.Close && !closeDelimited && skipped == 0, nil
 		}
-		if httpResp.Close || closeDelimited {
+		skipped++
+		if httpResp.Close || closeDelimited || skipped > maxSkippedResponses {
 			return nil, false, ErrMismatchedResponse
 		}
-		skipped = true
 		c.received.setStallTimeout(0)
 	}
 }
@@ -145,11 +149,16 @@
 
 // readHeader reads the status line and header of the final response and skips interim responses (1xx).
 func (c *conn) readHeader(req *Request) (*http.Response, error) {
+	c.received.limitHead(c.pool.client.cfg.MaxHeaderBytes)
+	defer c.received.limitHead(-1)
 	for {
 		if hasConflictingFraming(c.reader) {
 			return nil, ErrConflictingFraming
 		}
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
+		if err != nil && c.received.headLimitReached() {
+			return nil, ErrHeaderTooLarge // the parser may report a malformed last line instead
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -220,7 +229,7 @@
 		return c.exchangeError(FaultTimeout, true, context.Cause(ctx))
 	case errors.Is(err, ErrNoLength):
 		return c.exchangeError(FaultCloseDelimited, true, err)
-	case errors.Is(err, ErrResponseTooLarge):
+	case errors.Is(err, ErrResponseTooLarge), errors.Is(err, ErrHeaderTooLarge), errors.Is(err, ErrBuffersFull):
 		return c.exchangeError(FaultTooLarge, true, err)
 	case errors.Is(err, ErrStalled):
 		return c.exchangeError(FaultStalled, true, err)
--- a/internal/backend/errors.go
+++ b/internal/backend/errors.go
@@ -75,6 +75,8 @@
 	ErrConflictingFraming ConstError = "both Content-Length and Transfer-Encoding"
 	ErrStalled            ConstError = "no byte within the stall timeout"
 	ErrResponseTooLarge   ConstError = "answer exceeds the size limit"
+	ErrHeaderTooLarge     ConstError = "answer's header exceeds the size limit"
+	ErrBuffersFull        ConstError = "buffers for answers are full"
 	ErrNoLength           ConstError = "neither Content-Length nor chunked coding"
 	ErrSwitchingProtocols ConstError = "unexpected 101 Switching Protocols"
 	ErrUnsolicitedData    ConstError = "bytes arrived while no request was in flight"
--- a/internal/backend/receive_buffer.go
+++ b/internal/backend/receive_buffer.go
@@ -10,24 +10,27 @@
 // mu is held.
 type receiveBuffer struct {
 	limit   int           // maximum number of bytes between two resets
+	budget  *bufferBudget // shared by all connections
 	changed chan struct{} // has one element if the state may have changed since the last wait
 
 	mu           sync.Mutex
 	buf          bytes.Buffer
 	total        int // bytes received since the last reset
+	counted      int // bytes of them that count against the budget
+	headLeft     int // bytes that Read may still return before ErrHeaderTooLarge; negative for no limit
 	err          error
 	stallTimeout time.Duration // maximum wait of a Read; zero means no limit
 }
 
-func newReceiveBuffer(limit int) *receiveBuffer {
-	return &receiveBuffer{limit: limit, changed: make(chan struct{}, 1)}
+func newReceiveBuffer(limit int, budget *bufferBudget) *receiveBuffer {
+	return &receiveBuffer{limit: limit, budget: budget, headLeft: -1, changed: make(chan struct{}, 1)}
 }
 
 // reset prepares the buffer for the next response and reports whether the connection may be used.
 func (b *receiveBuffer) reset() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.total = 0
+	b.releaseLocked()
 	b.stallTimeout = 0
 	select {
 	case <-b.changed:
@@ -36,19 +39,41 @@
 	return b.err == nil && b.buf.Len() == 0
 }
 
-// push appends data and reports whether the limit permits it.
-func (b *receiveBuffer) push(data []byte) bool {
+// release ends the count of the bytes received since the last reset.
+func (b *receiveBuffer) release() {
 	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.releaseLocked()
+}
+
+func (b *receiveBuffer) releaseLocked() {
+	b.budget.release(b.counted)
+	b.total, b.counted = 0, 0
+}
+
+// push appends data. It returns an error if the size limit or the budget doesn't permit it.
+func (b *receiveBuffer) push(data []byte) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.total += len(data)
-	fits := b.total <= b.limit
-	if fits {
-		b.buf.Write(data)
+	if b.total > b.limit {
+		return ErrResponseTooLarge
 	}
-	b.mu.Unlock()
-	if fits {
-		b.notify()
+	counted, ok := b.budget.take(len(data), b.total)
+	if !ok {
+		return ErrBuffersFull
 	}
-	return fits
+	b.counted += counted
+	b.buf.Write(data)
+	b.notify()
+	return nil
+}
+
+// limitHead makes Read fail with ErrHeaderTooLarge after n more bytes. A negative n ends the limit.
+func (b *receiveBuffer) limitHead(n int) {
+	b.mu.Lock()
+	b.headLeft = n
+	b.mu.Unlock()
 }
 
 // closeWithError makes Read return err after the buffered bytes. Only the first call has an effect.
@@ -76,6 +101,13 @@
 	b.mu.Unlock()
 }
 
+// headLimitReached reports whether a Read failed, or would fail, with ErrHeaderTooLarge.
+func (b *receiveBuffer) headLimitReached() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.headLeft == 0
+}
+
 // Read implements io.Reader. It returns ErrStalled if nothing arrives within the stall timeout.
 func (b *receiveBuffer) Read(p []byte) (int, error) {
 	for {
@@ -93,8 +125,17 @@
 func (b *receiveBuffer) tryRead(p []byte) (n int, stall time.Duration, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.headLeft == 0 {
+		return 0, 0, ErrHeaderTooLarge
+	}
 	if b.buf.Len() > 0 {
+		if b.headLeft > 0 {
+			p = p[:min(len(p), b.headLeft)]
+		}
 		n, _ = b.buf.Read(p)
+		if b.headLeft > 0 {
+			b.headLeft -= n
+		}
 		return n, 0, nil
 	}
 	return 0, b.stallTimeout, b.err
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -88,6 +88,7 @@
 		Header:           c.header.Clone(),
 		Body:             c.req.Body,
 		RequireFreshConn: !c.idempotent,
+		MatchResponse:    c.matchesRequest,
 	}
 	if opts.n > 1 || c.retriedBefore() {
 		req.Header.Set(headerRetry, "1")
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -57,6 +57,13 @@
 	return id, "00-" + id + "-" + randomHex(8) + "-00"
 }
 
+// matchesRequest reports whether a response with the given header belongs to this request. A backend server that echoes
+// the traceparent field shows so that a response is a late one to an earlier request on the same connection.
+func (c *call) matchesRequest(h http.Header) bool {
+	echo := h.Get(headerTraceparent)
+	return echo == "" || echo == c.traceparent
+}
+
 // isHex reports whether s consists of the given number of lower-case hex digits. A value longer than two digits
 // must not be all zeros.
 func isHex(s string, length int) bool {
--- a/internal/entry/headers_test.go
+++ b/internal/entry/headers_test.go
@@ -57,6 +57,14 @@
 	}
 }
 
+func TestEchoedTraceparentTellsResponsesApart(t *testing.T) {
+	is := is.New(t)
+	c := &call{traceparent: "00-0123-45-00"}
+	is.True(c.matchesRequest(http.Header{}))
+	is.True(c.matchesRequest(http.Header{headerTraceparent: {"00-0123-45-00"}}))
+	is.True(!c.matchesRequest(http.Header{headerTraceparent: {"00-9876-54-00"}})) // of an earlier request
+}
+
 func TestParseLoadReportReadsORCAReports(t *testing.T) {
 	tests := []struct {
 		field       string
