Read each entry of the store by itself; a panic costs one unit of work

A panic in the handler of a message between hosts, in a probe, in an attempt of a lookup or while a configuration is compiled ended the process. What is packed for other hosts is refused when too large instead of cut.

--- a/internal/entry/front_callbacks.go
+++ b/internal/entry/front_callbacks.go
@@ -14,6 +14,6 @@
 }
 
 // onPanic records a panic of the request handler.
-func (h *Host) onPanic(_ *front.Request, err *front.PanicError) {
+func (h *Host) onPanic(_ *front.Request, err error) {
 	h.events.RecordError(event.RequestPanicked, event.Fields{}, err)
 }
--- a/internal/front/conn_serve.go
+++ b/internal/front/conn_serve.go
@@ -6,8 +6,9 @@
 	"net"
 	"net/http"
 	"os"
-	"runtime/debug"
 	"time"
+
+	"github.com/bilberryline/bilberryline/internal/panics"
 )
 
 // queuedRequest is a complete request, or a refusal to send, that waits for a worker.
@@ -75,13 +76,12 @@
 // handle calls the handler and recovers its panics. The worker pool drops panics silently, which would leave the
 // caller without a response.
 func (c *conn) handle(req *Request) (resp *Response) {
-	defer func() {
-		if v := recover(); v != nil {
-			c.server.onPanic(req, &PanicError{Value: v, Stack: debug.Stack()})
-			resp = &Response{Status: http.StatusInternalServerError, Header: http.Header{}}
-		}
-	}()
-	return c.server.cfg.Handler.Serve(c.ctx, req)
+	err := panics.Catch(func() { resp = c.server.cfg.Handler.Serve(c.ctx, req) })
+	if err != nil {
+		c.server.onPanic(req, err)
+		return &Response{Status: http.StatusInternalServerError, Header: http.Header{}}
+	}
+	return resp
 }
 
 // finish releases the buffer space and the pipeline slot of a request after its response was written.
--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -48,13 +48,3 @@
 
 // Unwrap returns the cause.
 func (e *ListenError) Unwrap() error { return e.Err }
-
-// PanicError reports a panic of the handler. The caller gets a response with status 500.
-type PanicError struct {
-	// Value is the value passed to panic, and Stack the stack trace of the handler.
-	Value any
-	Stack []byte
-}
-
-// Error implements error.
-func (e *PanicError) Error() string { return fmt.Sprintf("handler panicked: %v\n%s", e.Value, e.Stack) }
--- a/internal/front/panic_test.go
+++ b/internal/front/panic_test.go
@@ -13,14 +13,14 @@
 // pool recovers panics silently.
 func TestHandlerPanicIsAnsweredAndReported(t *testing.T) {
 	is := is.New(t)
-	reported := make(chan *PanicError, 1)
+	reported := make(chan error, 1)
 	s := New(Config{Address: "127.0.0.1:0", Handler: handlerFunc(func(_ context.Context, r *Request) *Response {
 		if r.Path == "/bad" {
 			panic("deliberate panic")
 		}
 		return &Response{Status: http.StatusOK, Header: http.Header{}}
 	})})
-	s.OnPanic(func(_ *Request, err *PanicError) { reported <- err })
+	s.OnPanic(func(_ *Request, err error) { reported <- err })
 	is.NoErr(s.Start())
 	t.Cleanup(func() { s.Shutdown(context.Background()) })
 	for path, status := range map[string]int{"/bad": http.StatusInternalServerError, "/good": http.StatusOK} {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -30,7 +30,7 @@
 	bufferedBytes atomic.Int64 // bytes of request bodies held for all connections
 	inFlight      atomic.Int64 // requests queued or being served
 	onRefuse      func(remote netip.AddrPort, refusal *RefusedError)
-	onPanic       func(req *Request, err *PanicError)
+	onPanic       func(req *Request, err error)
 
 	stopOnce sync.Once
 	readers  sync.WaitGroup
@@ -48,7 +48,7 @@
 		workers:  taskpool.New(cfg.Workers, workerQueueSize),
 		conns:    make(map[*conn]struct{}),
 		onRefuse: func(netip.AddrPort, *RefusedError) {},
-		onPanic:  func(*Request, *PanicError) {},
+		onPanic:  func(*Request, error) {},
 	}
 	s.SetLimits(Limits{})
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -66,7 +66,7 @@
 func (s *Server) OnRefuse(f func(remote netip.AddrPort, refusal *RefusedError)) { s.onRefuse = f }
 
 // OnPanic sets a function that is called for each panic of the handler. OnPanic must be called before Start.
-func (s *Server) OnPanic(f func(req *Request, err *PanicError)) { s.onPanic = f }
+func (s *Server) OnPanic(f func(req *Request, err error)) { s.onPanic = f }
 
 // Start listens on the address and accepts connections in the background. It returns a *ListenError if it can't
 // listen.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,9 +95,7 @@
 	g.front.OnRefuse(func(_ remoteAddress, refusal *front.RefusedError) {
 		cfg.Events.Record(event.RequestMalformed, event.Fields{Detail: refusal.Error()})
 	})
-	g.front.OnPanic(func(r *front.Request, err *front.PanicError) {
-		cfg.Events.RecordError(event.RequestPanicked, event.Fields{Request: r.Header.Get(cfg.Headers.RequestID)}, err)
-	})
+	g.front.OnPanic(func(r *front.Request, err error) { g.recordPanic(r.Header.Get(cfg.Headers.RequestID), err) })
 	return g
 }
 
@@ -241,6 +239,11 @@
 	return r.ReceivedAt.Add(timeout)
 }
 
+// recordPanic records a panic during the processing of a request, or of a "probe".
+func (g *Gateway) recordPanic(request string, err error) {
+	g.cfg.Events.RecordError(event.RequestPanicked, event.Fields{Request: request}, err)
+}
+
 // logFault counts and logs an exchange that ended without a response. request is the request's ID, or "probe".
 func (g *Gateway) logFault(s *server, request string, err error) {
 	g.metrics.targetFaults.WithLabelValues(s.target.Service, faultOf(err).String()).Inc()
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bilberryline/bilberryline/internal/event"
+	"github.com/bilberryline/bilberryline/internal/panics"
 )
 
 const (
@@ -58,7 +59,14 @@
 
 func (r *hedgeRace) start(ctx context.Context, opts attemptOptions, isHedge bool) {
 	r.running++
-	r.call.g.background.Go(func() { r.results <- raceResult{r.call.attempt(ctx, opts), isHedge} })
+	r.call.g.background.Go(func() {
+		var res attemptResult
+		if err := panics.Catch(func() { res = r.call.attempt(ctx, opts) }); err != nil {
+			r.call.g.recordPanic(r.call.id, err)
+			res.err = err
+		}
+		r.results <- raceResult{res, isHedge}
+	})
 }
 
 // wait returns the first successful result, or the last failure if no attempt succeeds.
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bilberryline/bilberryline/internal/backend"
+	"github.com/bilberryline/bilberryline/internal/panics"
 )
 
 const (
@@ -50,7 +51,9 @@
 	p := &probe{startedAt: now, done: make(chan struct{})}
 	s.probe = p
 	g.background.Go(func() {
-		g.runProbe(s, healthPath)
+		if err := panics.Catch(func() { g.runProbe(s, healthPath) }); err != nil {
+			g.recordPanic("probe", err)
+		}
 		s.mu.Lock()
 		s.probe = nil
 		s.mu.Unlock()
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -2,6 +2,9 @@
 
 import (
 	"github.com/hashicorp/yamux"
+
+	"github.com/bilberryline/bilberryline/internal/event"
+	"github.com/bilberryline/bilberryline/internal/panics"
 )
 
 // serve accepts and serves the session's streams until the session ends.
@@ -49,7 +52,10 @@
 		return e.refuse(refusedClosing)
 	}
 	s.active.Add(1)
-	entry.handler(s.ctx, e)
+	if err := panics.Catch(func() { entry.handler(s.ctx, e) }); err != nil {
+		s.node.cfg.Events.RecordError(event.PeerHandlerPanicked, event.Fields{Peer: s.remote, Detail: string(entry.method)}, err)
+		e.broken.Store(true)
+	}
 	reusable := e.finish()
 	s.active.Add(-1)
 	s.node.endHandler()
--- a/internal/registry/batch.go
+++ b/internal/registry/batch.go
@@ -27,4 +27,15 @@
 	Targets       []Target
 	Hosts         []Host
 	Configuration *Configuration
+	// Odd lists the entries that could not be used.
+	Odd []OddEntry
+}
+
+// OddEntry is an entry in the store that can't be used, for example because another program wrote it.
+type OddEntry struct {
+	// Key is the key of the entry, or empty if it can't be read, and Revision its revision.
+	Key      string
+	Revision uint64
+	// Reason says what is wrong.
+	Reason string
 }
--- a/internal/registry/merge.go
+++ b/internal/registry/merge.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/bilberryline/bilberryline/internal/event"
+	"github.com/bilberryline/bilberryline/internal/panics"
 	"github.com/bilberryline/bilberryline/internal/registry/registrypb"
+	"github.com/bilberryline/bilberryline/internal/routing"
 )
 
 // Merge adopts each record that is newer than the known one, and publishes a new view when something has
@@ -39,6 +41,7 @@
 }
 
 func (r *Registry) mergeLocked(b Batch, now time.Time) bool {
+	r.reportOddLocked(b.Odd)
 	changed := false
 	for i := range b.Targets {
 		changed = r.mergeTargetLocked(b.Targets[i], now) || changed
@@ -119,6 +122,23 @@
 	return true
 }
 
+// maxOddReported bounds the odd entries that are remembered as reported.
+const maxOddReported = 1000
+
+// reportOddLocked records an event for each odd entry that was not reported at its revision before.
+func (r *Registry) reportOddLocked(odd []OddEntry) {
+	for _, o := range odd {
+		if at, reported := r.oddReported[o.Key]; reported && at >= o.Revision {
+			continue
+		}
+		if len(r.oddReported) >= maxOddReported {
+			clear(r.oddReported)
+		}
+		r.oddReported[o.Key] = o.Revision
+		r.cfg.Events.Record(event.RegistryOddEntry, event.Fields{Target: o.Key, Revision: o.Revision, Detail: o.Reason})
+	}
+}
+
 // removeMissingLocked removes the records that a full batch lacks, except those newer than the batch.
 func (r *Registry) removeMissingLocked(b Batch, now time.Time) bool {
 	present := make(map[string]bool, len(b.Targets)+len(b.Hosts))
@@ -152,7 +172,11 @@
 	r.configuration = c
 	r.configurationProto = &registrypb.Configuration{Revision: c.Revision, Document: deflate(c.Document)}
 	r.configurationSequence = r.nextSequenceLocked()
-	routes, err := r.cfg.Compile(c.Document)
+	var routes *routing.Table
+	var err error
+	if failed := panics.Catch(func() { routes, err = r.cfg.Compile(c.Document) }); failed != nil {
+		err = failed
+	}
 	if err != nil {
 		r.cfg.Events.RecordError(event.ConfigRefused, event.Fields{Revision: c.Revision}, err)
 		return true // still sent to followers: a host with another build may be able to compile it
--- a/internal/registry/pack.go
+++ b/internal/registry/pack.go
@@ -70,5 +70,9 @@
 }
 
 func inflate(data []byte) ([]byte, error) {
-	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxUnpackedSize))
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxUnpackedSize+1))
+	if err == nil && len(plain) > maxUnpackedSize {
+		return nil, errTooLarge
+	}
+	return plain, err
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -56,6 +56,7 @@
 	delayedRemovals       map[string]delayedRemoval
 	delayRemovalsUntil    time.Time
 	subscribers           map[*subscriber]struct{}
+	oddReported           map[string]uint64    // revisions at which odd entries were reported, by key
 	timedOutAt            map[string]time.Time // when the updates of a followed host timed out, by host id
 	lease                 Lease
 	hostsChanged          chan struct{} // closed and replaced when the host list changes
@@ -74,6 +75,7 @@
 		hosts:           make(map[string]*hostRecord),
 		delayedRemovals: make(map[string]delayedRemoval),
 		subscribers:     make(map[*subscriber]struct{}),
+		oddReported:     make(map[string]uint64),
 		timedOutAt:      make(map[string]time.Time),
 		hostsChanged:    make(chan struct{}),
 	}
--- a/internal/registry/store.go
+++ b/internal/registry/store.go
@@ -42,5 +42,6 @@
 	errUpdateTimeout ConstError = "no update in time"
 	errNotDirect     ConstError = "the host doesn't watch the store itself"
 	errStale         ConstError = "the host's last confirmation from the store is too old"
+	errTooLarge      ConstError = "the update of the host is too large"
 	errBetterSource  ConstError = "a better ranked source was found"
 )
