Take limits, distances and idle times from the deployment

Cause: heartbeats, stale limits, the calls to the store, round trips, the idle time of connections, Retry-After and the bounds on memory and connections were constants that repeat figures of two deployments. Change: drain and config bound, heartbeat, memory and files come from the deploy file; registry.timing derives the intervals. Round trips are measured by connects, idle times come from the servers' Keep-Alive field, Retry-After from the route's objective.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -59,7 +59,12 @@
 	if err != nil {
 		return nil, err
 	}
+	first := cn.connectTime
 	resp, reusable, err := cn.exchange(ctx, req)
+	if resp != nil {
+		resp.ConnectTime, cn.connectTime = first, 0
+		p.learnIdleLimit(resp.Header)
+	}
 	if reusable {
 		p.put(cn)
 	} else {
@@ -115,11 +120,13 @@
 
 // dial opens a connection for p and starts its read loop, which runs until the connection is closed.
 func (c *Client) dial(ctx context.Context, p *pool) (*conn, error) {
+	start := time.Now()
 	raw, err := c.dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, err
 	}
 	cn := newConn(p, raw)
+	cn.connectTime = time.Since(start)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -141,7 +148,7 @@
 			return
 		case now := <-ticker.C:
 			for _, p := range c.allPools() {
-				p.closeIdle(now, c.cfg.IdleTimeout)
+				p.closeIdle(now, p.idleTimeout())
 			}
 		}
 	}
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -415,3 +415,23 @@
 	close(release)
 	is.NoErr(<-done)
 }
+
+// A backend server announces how long it keeps idle connections. One that is kept longer is lost with the next request.
+func TestAnnouncedIdleTimeoutIsUsed(t *testing.T) {
+	is := is.New(t)
+	addr, _ := scriptedServer(t, func(int, int, *http.Request) string {
+		return "HTTP/1.1 200 OK\r\nKeep-Alive: max=100, timeout=5\r\nContent-Length: 0\r\n\r\n"
+	})
+	c := startClient(t, Config{IdleTimeout: time.Minute})
+	resp, err := c.Do(testContext(t, testTimeout), addr, get("/"))
+	is.NoErr(err)
+	is.True(resp.ConnectTime > 0) // on the first response of a connection
+	is.Equal(c.poolFor(addr).idleTimeout(), 3*time.Second)
+	resp, err = c.Do(testContext(t, testTimeout), addr, get("/"))
+	is.NoErr(err)
+	is.Equal(resp.ConnectTime, time.Duration(0))
+	p := c.poolFor(addr)
+	p.learnIdleLimit(http.Header{"Keep-Alive": {"timeout=-1"}})
+	p.learnIdleLimit(http.Header{"Keep-Alive": {"timeout=99999999999999999999"}})
+	is.Equal(p.idleTimeout(), 3*time.Second)
+}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -22,6 +22,8 @@
 	// writingBody is true while a request with a body is being written. earlyResponse is set if bytes arrive meanwhile.
 	writingBody   atomic.Bool
 	earlyResponse atomic.Bool
+	// connectTime is the time that opening the connection took, until the first response.
+	connectTime time.Duration
 	// idleSince is guarded by pool.mu.
 	idleSince time.Time
 }
--- a/internal/backend/message.go
+++ b/internal/backend/message.go
@@ -44,4 +44,6 @@
 	Body []byte
 	// Latency is the time from sending the first byte of the request to reading the last byte of the response.
 	Latency time.Duration
+	// ConnectTime is the time that opening the connection took, for the first response on it, and otherwise 0.
+	ConnectTime time.Duration
 }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -11,12 +14,13 @@
 	client  *Client
 	address string
 
-	mu      sync.Mutex
-	limit   int // maximum value of open; zero means no limit
-	open    int // connections that are open or being opened
-	idle    []*conn
-	conns   map[*conn]struct{}
-	retired bool // removed from the client; connections are closed after their exchange
+	mu        sync.Mutex
+	limit     int // maximum value of open; zero means no limit
+	open      int // connections that are open or being opened
+	idle      []*conn
+	conns     map[*conn]struct{}
+	idleLimit time.Duration // idle timeout that the backend server announced; zero if it announced none
+	retired   bool          // removed from the client; connections are closed after their exchange
 }
 
 // get returns an idle connection or opens one.
@@ -35,8 +39,8 @@
 	return c, nil
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil. If a fresh connection is required but
-// this one has been idle for too long, popIdle closes it and returns nil. This also makes room for a new connection.
+// popIdle removes and returns the most recently used idle connection, or nil. If this one has been idle for too long,
+// which for a fresh connection is earlier, popIdle closes it and returns nil. This also makes room for a new connection.
 func (p *pool) popIdle(fresh bool) *conn {
 	now := time.Now()
 	p.mu.Lock()
@@ -48,13 +52,48 @@
 	c := p.idle[n-1]
 	p.idle = p.idle[:n-1]
 	p.mu.Unlock()
-	if fresh && now.Sub(c.idleSince) > p.client.cfg.FreshConnMaxIdle {
+	limit := p.idleTimeout()
+	if fresh {
+		limit = min(limit, p.client.cfg.FreshConnMaxIdle)
+	}
+	if now.Sub(c.idleSince) > limit {
 		p.discard(c)
 		return nil
 	}
 	return c
 }
 
+// idleLimitShare is the fraction of an announced idle timeout for which an idle connection is kept. The server's clock
+// started earlier, and a request that is sent as the server closes may be lost.
+const idleLimitShare = 0.6
+
+// learnIdleLimit takes over the idle timeout from the Keep-Alive field of a response (RFC 2068, section 19.7.1.1).
+func (p *pool) learnIdleLimit(h http.Header) {
+	for parameter := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
+		seconds, err := strconv.Atoi(value)
+		if !strings.EqualFold(name, "timeout") || err != nil || seconds <= 0 || seconds > maxIdleLimitSeconds {
+			continue
+		}
+		p.mu.Lock()
+		p.idleLimit = time.Duration(idleLimitShare * float64(seconds) * float64(time.Second))
+		p.mu.Unlock()
+	}
+}
+
+// maxIdleLimitSeconds is the longest announced idle timeout that is believed.
+const maxIdleLimitSeconds = 3600
+
+// idleTimeout returns how long an idle connection is kept.
+func (p *pool) idleTimeout() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.idleLimit > 0 {
+		return p.idleLimit
+	}
+	return p.client.cfg.IdleTimeout
+}
+
 // reserve counts a connection to be opened and reports whether the limit permits it.
 func (p *pool) reserve() bool {
 	p.mu.Lock()
--- a/internal/gateway/feedback.go
+++ b/internal/gateway/feedback.go
@@ -18,6 +18,9 @@
 		s.recordSuccess(sent, resp.Latency, now)
 		c.g.routeStats.observe(c.route, resp.Latency, chosen.expected, len(resp.Body))
 	}
+	if resp.ConnectTime > 0 {
+		c.g.roundTrips.observe(s.target.Site, resp.ConnectTime)
+	}
 	c.recordLoad(s, resp, now)
 	c.g.queues.get(c.service.Name).wakeHead()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,7 @@
 	// slowness holds the expected slowness of servers without a fresh load report.
 	slowness      *slownessMeans
 	loadReporters *loadReporters
+	roundTrips    *roundTrips
 	retryBudgets  *retryBudgets
 	front         *front.Server
 
@@ -75,9 +76,11 @@
 		queues:        newWaitQueues(),
 		slowness:      newSlownessMeans(),
 		loadReporters: newLoadReporters(),
+		roundTrips:    newRoundTrips(),
 		retryBudgets:  newRetryBudgets(cfg.RetryRatio, cfg.RetrySlack, cfg.MaxEntryHosts),
 		client: backend.New(backend.Config{
 			MaxResponseBytes: cfg.MaxBodyBytes,
+			MaxBufferedBytes: cfg.MaxBufferedBytes,
 			DialTimeout:      targetDialTimeout,
 			IdleTimeout:      targetIdleTimeout,
 		}),
@@ -91,7 +94,7 @@
 	})
 	cfg.Node.Handle(quarantine.Method, tracker.Handle)
 	g.crashDetector = quarantine.NewCrashDetector(tracker, &g.background)
-	g.front = front.New(front.Config{Address: cfg.Listen, Handler: g, MaxBodyBytes: cfg.MaxBodyBytes, MaxConnections: cfg.MaxConnections})
+	g.front = front.New(front.Config{Address: cfg.Listen, Handler: g, MaxBodyBytes: cfg.MaxBodyBytes, MaxBufferedBytes: cfg.MaxBufferedBytes, MaxConnections: cfg.MaxConnections})
 	g.front.OnRefuse(func(_ remoteAddress, refusal *front.RefusedError) {
 		cfg.Events.Record(event.RequestMalformed, event.Fields{Detail: refusal.Error()})
 	})
@@ -103,8 +106,7 @@
 	// targetDialTimeout is the timeout for connecting to a backend server. It is several times the round trip
 	// between regions.
 	targetDialTimeout = 200 * time.Millisecond
-	// targetIdleTimeout is how long an idle connection to a backend server is kept. It must stay below the
-	// idle timeout of the backend servers, which is about 10 s.
+	// targetIdleTimeout is how long an idle connection to a backend server is kept that doesn't announce its own limit.
 	targetIdleTimeout = 6 * time.Second
 )
 
@@ -179,9 +181,9 @@
 	return resp
 }
 
-// staleConfigAge is the age above which the configuration may be outdated, so that a missing route is no proof
-// that the route doesn't exist.
-const staleConfigAge = 1500 * time.Millisecond
+// staleConfigShare is the fraction of the propagation limit above which the age of the configuration means that it may
+// be outdated, so that a missing route is no proof that the route doesn't exist.
+const staleConfigShare = 0.75
 
 // admit matches a request to its route and service. It returns the call, or the response that refuses the
 // request.
@@ -223,7 +225,7 @@
 	age := time.Since(g.cfg.Registry.Freshness().ConfirmedAt)
 	f := event.Fields{Request: id, Revision: v.Routes.Version, Detail: "no route matches; the configuration was confirmed " + age.Round(time.Millisecond).String() + " ago"}
 	g.cfg.Events.Record(event.GatewayRefused, f)
-	if age > staleConfigAge {
+	if age > time.Duration(staleConfigShare*float64(g.cfg.PropagationLimit)) {
 		return refusal(unreadyRetryAfter)
 	}
 	return localResponse(http.StatusNotFound)
--- a/internal/gateway/give_up.go
+++ b/internal/gateway/give_up.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	// retryAfterMin and retryAfterMax limit the Retry-After of a refusal, before jitter. A server's slow phase ends
-	// within about half a second; a load peak takes longer.
-	retryAfterMin = 150 * time.Millisecond
-	retryAfterMax = 800 * time.Millisecond
+	// retryAfterMinShare and retryAfterMaxShare limit the Retry-After of a refusal, before jitter, as fractions of the
+	// route's objective.
+	retryAfterMinShare = 0.25
+	retryAfterMaxShare = 4.0 / 3
 	// shedRetryAfter is the Retry-After when a server with free slots declined a request and the request can't be sent
 	// again. The caller needn't wait for the load to drop, since most other servers would accept the request.
 	shedRetryAfter = 20 * time.Millisecond
@@ -49,7 +49,9 @@
 // retryAfter returns the time after which the caller should retry: when the best server is expected to meet the
 // objective again.
 func (c *call) retryAfter(err error) time.Duration {
-	pause := retryAfterMin
+	objective := float64(c.route.Objective)
+	least, most := time.Duration(retryAfterMinShare*objective), time.Duration(retryAfterMaxShare*objective)
+	pause := least
 	var noServer *NoServerError
 	var refused *RefusedError
 	switch {
@@ -58,7 +60,7 @@
 	case errors.As(err, &refused) && refused.HadFreeSlots:
 		pause = shedRetryAfter
 	case errors.As(err, &noServer) && noServer.Expected > 0:
-		pause = min(max(noServer.Expected-c.route.Objective, retryAfterMin), retryAfterMax)
+		pause = min(max(noServer.Expected-c.route.Objective, least), most)
 	}
 	// Jitter of up to half the pause prevents callers from retrying at the same moment.
 	return pause + time.Duration(rand.Float64()*float64(pause)/2)
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -38,20 +38,17 @@
 	remoteRegionShare = 0.1
 	// holdPollInterval is the longest interval between two searches for a server by a waiting request.
 	holdPollInterval = 20 * time.Millisecond
-	// regionRTT and siteRTT are the round-trip times between regions and between the data centres of a region.
-	regionRTT = 17 * time.Millisecond
-	siteRTT   = 2 * time.Millisecond
 )
 
-// rtt returns the round-trip time to a server.
+// rtt returns the round-trip time to a server of another data centre, and 0 for one of this data centre.
 func (g *Gateway) rtt(s *server) time.Duration {
-	switch {
-	case s.target.Site == g.cfg.Site:
+	switch g.distance(s) {
+	case 0:
 		return 0
-	case g.cfg.RegionOf[s.target.Site] == g.cfg.Region:
-		return siteRTT
+	case 1:
+		return g.roundTrips.estimate(s.target.Site, unknownSiteRTT)
 	}
-	return regionRTT
+	return g.roundTrips.estimate(s.target.Site, unknownRegionRTT)
 }
 
 // distance returns 0 for a server in this data centre, 1 for one elsewhere in this region, and 2 for one in
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -112,6 +112,9 @@
 		MatchResponse:        func(h http.Header) bool { return h.Get(g.cfg.Headers.RequestID) == "" },
 	})
 	now := time.Now()
+	if err == nil && resp.ConnectTime > 0 {
+		g.roundTrips.observe(s.target.Site, resp.ConnectTime)
+	}
 	if err != nil {
 		g.recordProbeFault(s, err, now)
 		return
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -31,6 +31,11 @@
 	// callers' connections.
 	MaxBodyBytes   int
 	MaxConnections int
+	// MaxBufferedBytes is the maximum number of bytes of requests, and likewise of responses, that are held at the same
+	// time. Zero means 512 MiB.
+	MaxBufferedBytes int64
+	// PropagationLimit is the time within which all hosts must know a change of the store.
+	PropagationLimit time.Duration
 	// DrainDelay is the time from failing the readiness check to closing the listener.
 	DrainDelay time.Duration
 	// ShutdownLimit is the maximum duration of a graceful shutdown.
@@ -50,6 +55,8 @@
 		return setting.Invalid("policy", string(s.Policy), "expected, least-in-flight or random")
 	case s.MaxEntryHosts < 1:
 		return setting.Invalid("max-entry-hosts", "", "a number from 1")
+	case s.PropagationLimit <= 0:
+		return setting.Invalid("drain-limit, config-limit", s.PropagationLimit.String(), "more than 0s")
 	case s.RetryRatio < 0 || s.RetrySlack < 0 || s.ProbesPerSecond <= 0:
 		return setting.Invalid("retry-ratio, retry-slack, probes-per-second", "", "numbers of zero or more")
 	case s.ShutdownLimit <= s.DrainDelay:
--- a/internal/registry/follow.go
+++ b/internal/registry/follow.go
@@ -28,7 +28,7 @@
 			return err
 		}
 		r.Merge(b)
-		if err := checkSource(b, asRelay, r.cfg.Clock.Now()); err != nil {
+		if err := r.checkSource(b, asRelay, r.cfg.Clock.Now()); err != nil {
 			return err
 		}
 		r.setRelay(b.Direct)
@@ -40,7 +40,7 @@
 
 // receive reads one update. It fails when none arrives within updateTimeout.
 func (r *Registry) receive(s peer.Stream) (Batch, error) {
-	if err := s.SetDeadline(time.Now().Add(updateTimeout)); err != nil {
+	if err := s.SetDeadline(time.Now().Add(r.timing.updateTimeout)); err != nil {
 		return Batch{}, err
 	}
 	u := &registrypb.Update{}
@@ -51,10 +51,10 @@
 }
 
 // checkSource returns an error when the sender of the update must not be followed any longer.
-func checkSource(b Batch, asRelay bool, now time.Time) error {
-	limit := staleAfter
+func (r *Registry) checkSource(b Batch, asRelay bool, now time.Time) error {
+	limit := r.timing.staleAfter
 	if asRelay {
-		limit = relayStaleAfter
+		limit = r.timing.relayStaleAfter
 	}
 	switch {
 	case !b.Direct && (!asRelay || !b.Relay):
@@ -74,13 +74,13 @@
 // watchesStore asks a host whether it watches the store itself and is up to date.
 func (r *Registry) watchesStore(ctx context.Context, id string) bool {
 	u := r.queryStatus(ctx, id)
-	return u.Direct && time.Duration(u.AgeMs)*time.Millisecond < staleAfter
+	return u.Direct && time.Duration(u.AgeMs)*time.Millisecond < r.timing.staleAfter
 }
 
 // canRelay asks a host whether it can be followed as a relay.
 func (r *Registry) canRelay(ctx context.Context, id string) bool {
 	u := r.queryStatus(ctx, id)
-	return (u.Direct || u.Relay) && time.Duration(u.AgeMs)*time.Millisecond < staleAfter
+	return (u.Direct || u.Relay) && time.Duration(u.AgeMs)*time.Millisecond < r.timing.staleAfter
 }
 
 // queryStatus returns the freshness of a host. It returns an empty update when the host doesn't answer.
--- a/internal/registry/merge.go
+++ b/internal/registry/merge.go
@@ -259,11 +259,11 @@
 // delayRemovalsAfterOutage delays removals of targets for removalDelay when the store has answered at now
 // after an outage of at least minOutage that began at since.
 func (r *Registry) delayRemovalsAfterOutage(since, now time.Time) {
-	if now.Sub(since) < minOutage {
+	if now.Sub(since) < r.timing.minOutage {
 		return
 	}
 	r.mu.Lock()
-	r.delayRemovalsUntil = now.Add(removalDelay)
+	r.delayRemovalsUntil = now.Add(r.timing.removalDelay)
 	r.mu.Unlock()
 }
 
--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -5,12 +5,6 @@
 const (
 	// tombstoneTTL is how long removed records are kept for followers that were disconnected for a while.
 	tombstoneTTL = time.Minute
-	// removalDelay is how long removals of targets are delayed after the store has recovered. Targets whose
-	// entries expired during the outage register again within 2 s.
-	removalDelay = 2100 * time.Millisecond
-	// minOutage is the outage of the store after which entries of healthy targets may have expired: an entry
-	// survives two missed renewals of 1.5 s.
-	minOutage = 2500 * time.Millisecond
 	// cleanupInterval is the interval between checks for due removals and expired tombstones.
 	cleanupInterval = 100 * time.Millisecond
 )
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -29,14 +29,21 @@
 	Clock  clock.Clock
 	// Compile compiles a configuration document to a routing table.
 	Compile func(document []byte) (*routing.Table, error)
+	// PropagationLimit is the time within which all hosts must know a change of the store. Default 2 s.
+	PropagationLimit time.Duration
+	// TargetHeartbeat is the interval at which targets renew their entries. Default 1.5 s.
+	TargetHeartbeat time.Duration
+	// ReregistrationLimit is the time within which targets register again after an outage of the store. Default 2 s.
+	ReregistrationLimit time.Duration
 	// OnChange is called with each new view, one call at a time. It may be nil.
 	OnChange func(*View)
 }
 
 // Registry is one host's copy of the store's records. It is safe for concurrent use.
 type Registry struct {
-	cfg  Config
-	view atomic.Pointer[View]
+	cfg    Config
+	timing timing
+	view   atomic.Pointer[View]
 
 	mu            sync.Mutex
 	targets       map[string]*targetRecord
@@ -70,7 +77,9 @@
 		cfg.Clock = clock.System{}
 	}
 	r := &Registry{
-		cfg:             cfg,
+		cfg: cfg,
+		timing: newTiming(orDefault(cfg.PropagationLimit, defaultPropagationLimit),
+			orDefault(cfg.TargetHeartbeat, defaultTargetHeartbeat), orDefault(cfg.ReregistrationLimit, defaultReregistrationLimit)),
 		targets:         make(map[string]*targetRecord),
 		hosts:           make(map[string]*hostRecord),
 		delayedRemovals: make(map[string]delayedRemoval),
--- a/internal/registry/serve.go
+++ b/internal/registry/serve.go
@@ -10,12 +10,6 @@
 	"github.com/bilberryline/bilberryline/internal/registry/registrypb"
 )
 
-const (
-	// heartbeatInterval is the longest time between two updates to a follower. A follower leaves its source
-	// after three missed updates, well within the 2 s in which a draining target must be known.
-	heartbeatInterval = 300 * time.Millisecond
-)
-
 // subscriber is a follower that this host serves. Its fields are guarded by Registry.mu.
 type subscriber struct {
 	position     uint64 // store revision up to which the follower knew all changes when it subscribed
@@ -49,7 +43,7 @@
 		select {
 		case <-ctx.Done():
 		case <-sub.changed:
-		case <-r.cfg.Clock.After(heartbeatInterval):
+		case <-r.cfg.Clock.After(r.timing.heartbeat):
 		}
 	}
 }
--- a/internal/registry/source.go
+++ b/internal/registry/source.go
@@ -12,18 +12,8 @@
 )
 
 const (
-	// updateTimeout is the time without an update after which a follower leaves its source: three heartbeats.
-	updateTimeout = 3 * heartbeatInterval
 	// openTimeout bounds opening a stream to another host, and a status query.
 	openTimeout = 250 * time.Millisecond
-	// staleAfter is the age of a source's last confirmation by the store above which a follower leaves it. It
-	// exceeds the longest regular age: watchWait, minWatchInterval and a call to a slow store.
-	staleAfter = 1000 * time.Millisecond
-	// relayStaleAfter is the same limit for a followed relay. It gives the relay time to find another source,
-	// which the relay looks for after staleAfter or updateTimeout.
-	relayStaleAfter = 1600 * time.Millisecond
-	// betterSourceInterval is how often a host looks for a better ranked source than its current one.
-	betterSourceInterval = 3 * time.Second
 	// betterSourceInitialDelay is the time before the first look for a better source. Hosts that lost their
 	// source at the same time all watch the store for a moment.
 	betterSourceInitialDelay = 200 * time.Millisecond
@@ -184,7 +174,7 @@
 	defer check.Wait()
 	defer cancel(nil)
 	check.Go(func() {
-		for pause := betterSourceInitialDelay; r.sleep(ctx, pause) == nil; pause = betterSourceInterval {
+		for pause := betterSourceInitialDelay; r.sleep(ctx, pause) == nil; pause = r.timing.betterSourceInterval {
 			if better(ctx) {
 				cancel(errBetterSource)
 			}
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -9,11 +9,6 @@
 )
 
 const (
-	// minWatchInterval is the shortest time between two calls for changes. Backend servers renew their entries
-	// all the time, so a shorter interval would only cause more calls.
-	minWatchInterval = 400 * time.Millisecond
-	// watchWait is how long the store may hold a call while there is no change (long poll).
-	watchWait = 250 * time.Millisecond
 	// callTimeout bounds one call, in addition to its wait. It allows for a store that is 60 times slower than
 	// its usual 4 ms, and for the latency between regions.
 	callTimeout = 500 * time.Millisecond
@@ -36,7 +31,7 @@
 	r.cfg.Events.Record(event.ConfigWatchStarted, event.Fields{})
 	for {
 		began := r.cfg.Clock.Now()
-		err := r.mergeChanges(ctx, watchWait)
+		err := r.mergeChanges(ctx, r.timing.watchWait)
 		if errors.Is(err, ErrHistoryGone) {
 			r.cfg.Events.RecordError(event.RegistryHistoryGone, event.Fields{}, err)
 			err = r.loadAll(ctx)
@@ -44,7 +39,7 @@
 		if err != nil {
 			return err
 		}
-		if err := r.sleep(ctx, minWatchInterval-r.cfg.Clock.Now().Sub(began)); err != nil {
+		if err := r.sleep(ctx, r.timing.watchInterval-r.cfg.Clock.Now().Sub(began)); err != nil {
 			return err
 		}
 	}
