Limit resends by sliding windows, as the platform counts them

Cause: a host kept at most 2.25 resends and 1.1 hedges in stock, however many requests it had (slack divided by hosts); two slow lookups within two seconds used up its hedges. With more hosts than slack, one resend each was above the platform's bound.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -53,7 +53,7 @@
 	defer cancel()
 	ctx, end := c.untilStopEnds(ctx)
 	defer end(nil)
-	c.g.retryBudgets.recordRequest(c.service.Name)
+	c.g.retryBudgets.recordRequest(c.service.Name, time.Now())
 	for {
 		res := c.attemptWithHedge(ctx)
 		if res.err == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,7 +77,7 @@
 		slowness:      newSlownessMeans(),
 		loadReporters: newLoadReporters(),
 		roundTrips:    newRoundTrips(),
-		retryBudgets:  newRetryBudgets(cfg.RetryRatio, cfg.RetrySlack, cfg.MaxEntryHosts),
+		retryBudgets:  newRetryBudgets(retryBudgetConfig{cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow}, cfg.MaxEntryHosts),
 		client: backend.New(backend.Config{
 			MaxResponseBytes: cfg.MaxBodyBytes,
 			MaxBufferedBytes: cfg.MaxBufferedBytes,
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -23,6 +23,8 @@
 	// is the number of resends per request, RetrySlack the number allowed beyond that in a window.
 	RetryRatio float64
 	RetrySlack float64
+	// RetryWindow is the length of the windows in which the resends are limited.
+	RetryWindow time.Duration
 	// ProbesPerSecond is the maximum rate of probes of one backend server by all hosts together.
 	ProbesPerSecond float64
 	// Policy is the load balancing policy.
@@ -57,6 +59,8 @@
 		return setting.Invalid("max-entry-hosts", "", "a number from 1")
 	case s.PropagationLimit <= 0:
 		return setting.Invalid("drain-limit, config-limit", s.PropagationLimit.String(), "more than 0s")
+	case s.RetryWindow <= 0:
+		return setting.Invalid("retry-window", s.RetryWindow.String(), "more than 0s")
 	case s.RetryRatio < 0 || s.RetrySlack < 0 || s.ProbesPerSecond <= 0:
 		return setting.Invalid("retry-ratio, retry-slack, probes-per-second", "", "numbers of zero or more")
 	case s.ShutdownLimit <= s.DrainDelay:
