--- a/internal/peer/hello.go
+++ b/internal/peer/hello.go
@@ -61,18 +61,18 @@
 }
 
 // clientHandshake performs the dialling side's part of the handshake and checks the other host's id.
-func (n *Node) clientHandshake(c io.ReadWriter, want string) (*peerpb.Hello, error) {
+func (n *Node) clientHandshake(c io.ReadWriter, want string) error {
 	if err := n.sendHello(c, want); err != nil {
-		return nil, err
+		return err
 	}
 	m, err := n.recvHello(c)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if m.Host != want {
-		return nil, &IdentityError{Want: want, Got: m.Host}
+		return &IdentityError{Want: want, Got: m.Host}
 	}
-	return m, nil
+	return nil
 }
 
 // serverHandshake performs the accepting side's part of the handshake. A host that was dialled under another
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -171,7 +171,7 @@
 	}
 	c := newConn(raw, n)
 	_ = raw.SetDeadline(time.Now().Add(n.cfg.DialTimeout))
-	if _, err = n.clientHandshake(c, host); err != nil {
+	if err = n.clientHandshake(c, host); err != nil {
 		_ = raw.Close()
 		return nil, err
 	}
