Don't send a request that can't end before its deadline (bilberry-entry)

Cause of TestNotRunMeansNotRunWhileTargetsAreFull, seen as 'none of 600 bookings refused': slots that became free shortly before the deadlines of the waiting bookings were given to them one after another; each was sent, cut after milliseconds, and its caller told that the outcome is unknown. Change: a request with less than half of its route's median latency left is not sent; its caller is told 504, not run. A route needs 8 responses.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -141,6 +141,9 @@
 	if !now.Before(c.deadline) {
 		return ErrDeadlineExceeded
 	}
+	if c.h.latency.stats(c.routeKey()).tooLate(c.deadline.Sub(now)) {
+		return ErrDeadlineUnreachable
+	}
 	if c.h.isDraining(target) {
 		return ErrTargetDraining
 	}
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -38,6 +38,9 @@
 const (
 	// ErrDeadlineExceeded means that the deadline passed before the request was sent.
 	ErrDeadlineExceeded ConstError = "deadline passed before the request was sent"
+	// ErrDeadlineUnreachable means that the time left is far shorter than responses of the route usually take, so that
+	// the request was not sent.
+	ErrDeadlineUnreachable ConstError = "the deadline can't be met; the request was not sent"
 	// ErrCallerDisconnected means that the caller closed its connection.
 	ErrCallerDisconnected ConstError = "caller closed the connection"
 	// ErrTicketExpired means that the right to run a keyed request has expired.
--- a/internal/entry/give_up.go
+++ b/internal/entry/give_up.go
@@ -63,7 +63,7 @@
 		return errorResponse{http.StatusServiceUnavailable, errInternal, detail, defaultRetryAfter}
 	case errors.As(res.err, &exchange):
 		return exchangeFailureResponse(exchange, detail)
-	case errors.Is(context.Cause(ctx), ErrDeadlineExceeded), errors.Is(res.err, ErrDeadlineExceeded):
+	case errors.Is(context.Cause(ctx), ErrDeadlineExceeded), errors.Is(res.err, ErrDeadlineExceeded), errors.Is(res.err, ErrDeadlineUnreachable):
 		return errorResponse{http.StatusGatewayTimeout, errReadTimeout, detail, defaultRetryAfter}
 	}
 	return errorResponse{http.StatusServiceUnavailable, errDestinationUnavailable, detail, defaultRetryAfter}
--- a/internal/entry/latency.go
+++ b/internal/entry/latency.go
@@ -27,6 +27,19 @@
 	median, p95 time.Duration
 }
 
+const (
+	// minLatencySamples is the number of responses from which on the latencies of a route are believed.
+	minLatencySamples = 8
+	// unreachableShare is the fraction of a route's median latency below which no response is expected.
+	unreachableShare = 0.5
+)
+
+// tooLate reports whether a request with the given time left is certain enough to miss its deadline that it must not be
+// sent: its work would be thrown away, and its caller could no longer be told that it was not run.
+func (s routeStats) tooLate(left time.Duration) bool {
+	return s.count >= minLatencySamples && left < time.Duration(unreachableShare*float64(s.median))
+}
+
 func (t *latencyTable) observe(route string, d time.Duration) {
 	t.mu.Lock()
 	t.routes.Route(route).Observe(d)
