--- /dev/null
+++ b/review/standin/case_run.go
@@ -0,0 +1,153 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/bilberryline/bilberryline/platform/standin"
+)
+
+// Limits of a small deployment, as in the site file potcoava-rond.
+const (
+	stability = 3 * time.Second
+	drain     = 2 * time.Second
+	grace     = 6 * time.Second
+	heartbeat = 1500 * time.Millisecond
+)
+
+// caseRun is the state of one run of a case: the platform, the gateways, the servers and the record.
+type caseRun struct {
+	trouble  bool // whether the disruption takes place
+	start    time.Time
+	dir      string // temporary folder for logs
+	store    *standin.StoreServer
+	runs     *standin.RunLog
+	gateways []*gateway
+
+	stop    chan struct{}
+	renewal sync.WaitGroup
+
+	mu      sync.Mutex
+	out     *os.File          // guarded by mu
+	renewed []*standin.Target // servers that renew their entries; guarded by mu
+	targets []*standin.Target // guarded by mu
+}
+
+func newCaseRun(record string, trouble bool) (*caseRun, error) {
+	out, err := os.Create(record)
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "review-case-")
+	if err != nil {
+		return nil, err
+	}
+	c := &caseRun{
+		trouble: trouble, start: time.Now(), dir: dir, out: out, stop: make(chan struct{}),
+		store: standin.NewStoreServer(), runs: standin.NewRunLog(),
+	}
+	c.renewal.Go(c.renewLoop)
+	c.note("the disruption takes place: %v", trouble)
+	return c, nil
+}
+
+// close ends all processes that the case started.
+func (c *caseRun) close() {
+	close(c.stop)
+	c.renewal.Wait()
+	for _, g := range c.gateways {
+		g.kill()
+	}
+	for _, t := range c.targets {
+		t.Stop()
+	}
+	c.store.Close()
+	if os.Getenv("KEEP_LOGS") == "" {
+		_ = os.RemoveAll(c.dir)
+	}
+	_ = c.out.Close()
+}
+
+// note writes a line with the time since the start to the record.
+func (c *caseRun) note(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fmt.Fprintf(c.out, "%8.3f %s\n", time.Since(c.start).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// addTarget starts a backend server that renews its entry.
+func (c *caseRun) addTarget(service, id, site string, processing time.Duration) (*standin.Target, error) {
+	t := standin.NewTarget(c.store.Store, c.runs, service, id, site)
+	t.Slots = 6
+	t.ProcessingTime = processing
+	if err := t.Start(""); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.targets = append(c.targets, t)
+	c.renewed = append(c.renewed, t)
+	return t, nil
+}
+
+// removeEntry removes the entry of a server that goes on serving. It returns when the store has acknowledged this.
+func (c *caseRun) removeEntry(t *standin.Target) time.Time {
+	c.mu.Lock()
+	for i, other := range c.renewed {
+		if other == t {
+			c.renewed = append(c.renewed[:i], c.renewed[i+1:]...)
+			break
+		}
+	}
+	c.mu.Unlock()
+	t.Deregister()
+	return time.Now()
+}
+
+func (c *caseRun) renewLoop() {
+	ticker := time.NewTicker(heartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.stop:
+			return
+		case <-ticker.C:
+		}
+		c.mu.Lock()
+		for _, t := range c.renewed {
+			t.Renew()
+		}
+		c.mu.Unlock()
+	}
+}
+
+// sites are the data centres, all in regions of their own but the first two.
+var sites = []string{"cluj-a", "sibiu-b", "iasi-a"}
+
+const regionsJSON = `{"cluj-a":"transilvania","sibiu-b":"transilvania","iasi-a":"moldova"}`
+
+var regionOf = map[string]string{"cluj-a": "transilvania", "sibiu-b": "transilvania", "iasi-a": "moldova"}
+
+// startGateways starts gateways, one in each site in turn, and waits until all are ready.
+func (c *caseRun) startGateways(n int) error {
+	for i := range n {
+		g, err := newGateway(c, fmt.Sprintf("edge-%d", i+1), sites[i%len(sites)], i)
+		if err != nil {
+			return err
+		}
+		c.gateways = append(c.gateways, g)
+		if err := g.start(); err != nil {
+			return err
+		}
+	}
+	for _, g := range c.gateways {
+		if err := g.awaitReady(20 * time.Second); err != nil {
+			return err
+		}
+	}
+	return nil
+}
