--- a/review/standin/case_run.go
+++ b/review/standin/case_run.go
@@ -125,17 +125,24 @@
 	}
 }
 
-// sites are the data centres, all in regions of their own but the first two.
-var sites = []string{"cluj-a", "sibiu-b", "iasi-a"}
+// sites are the data centres of gateways and servers unless a case names others.
+var sites = []string{"cluj-a", "sibiu-b"}
 
-const regionsJSON = `{"cluj-a":"transilvania","sibiu-b":"transilvania","iasi-a":"moldova"}`
+var regionOf = map[string]string{"cluj-a": "transilvania", "sibiu-b": "transilvania", "pitesti-b": "muntenia"}
 
-var regionOf = map[string]string{"cluj-a": "transilvania", "sibiu-b": "transilvania", "iasi-a": "moldova"}
-
-// startGateways starts gateways, one in each site in turn, and waits until all are ready.
+// startGateways starts n gateways in sites, in turn, and waits until all are ready.
 func (c *caseRun) startGateways(n int) error {
+	var in []string
 	for i := range n {
-		g, err := newGateway(c, fmt.Sprintf("edge-%d", i+1), sites[i%len(sites)], i)
+		in = append(in, sites[i%len(sites)])
+	}
+	return c.startGatewaysIn(in...)
+}
+
+// startGatewaysIn starts a gateway in each of the given sites and waits until all are ready.
+func (c *caseRun) startGatewaysIn(in ...string) error {
+	for i, site := range in {
+		g, err := newGateway(c, fmt.Sprintf("edge-%d", i+1), site, i)
 		if err != nil {
 			return err
 		}
--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -44,10 +45,14 @@
 	if err != nil {
 		return nil, err
 	}
+	regions, err := json.Marshal(regionOf)
+	if err != nil {
+		return nil, err
+	}
 	ip := fmt.Sprintf("%s.%d", network, index+1)
 	g := &gateway{run: c, name: name, site: site, ip: ip, ready: ip + ":8140", front: ip + ":8144"}
 	g.env, err = deployEnvironment(map[string]string{
-		"node": name, "zone": site, "region": regionOf[site], "zones|json": regionsJSON, "ip": ip,
+		"node": name, "zone": site, "region": regionOf[site], "zones|json": string(regions), "ip": ip,
 		"listen.front": g.front, "listen.ready": g.ready, "internalPorts.0": "7660", "provider.addr": storeAddress,
 		"bounds.grace": "6s", "bounds.drain": "2000ms", "bounds.config": "2000ms", "heartbeat": "1500ms",
 		"limits.memoryMb": "284", "limits.maxFds": "4100", "bounds.retryRatio": "0.2", "bounds.retrySlack": "60",
