--- a/review/standin/lost_machines.go
+++ b/review/standin/lost_machines.go
@@ -18,7 +18,9 @@
 	machines  = 16
 	lostCount = 8
 	// darkTime is how long they are without power.
-	darkTime = 5 * time.Second
+	darkTime = 2 * time.Second
+	// observeTime is how long requests go on after the power is back.
+	observeTime = 8 * time.Second
 )
 
 // lostMachines checks DRAIN: half of the machines lose power for some seconds, and a server's entry is removed at that
@@ -60,7 +62,7 @@
 			}
 		}
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(observeTime)
 	close(stop)
 	senders.Wait()
 	// The machines that keep their power are in touch all the time.
