--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -11,8 +11,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/bilberryline/bilberryline/platform/standin"
 )
 
 // request is one attempt of a caller and its outcome.
@@ -50,7 +48,7 @@
 		r.err = err
 		return r
 	}
-	req.Host = standin.VirtualHost
+	req.Host = virtualHost
 	req.Header.Set("X-Bilberryline-Request-Id", r.id)
 	req.Header.Set("X-Bilberryline-Deadline-Ms", fmt.Sprint(timeLimit.Milliseconds()))
 	resp, err := k.client.Do(req)
--- a/review/standin/case_run.go
+++ b/review/standin/case_run.go
@@ -7,8 +7,6 @@
 	"os"
 	"sync"
 	"time"
-
-	"github.com/bilberryline/bilberryline/platform/standin"
 )
 
 // Limits of a small deployment, as in the site file potcoava-rond.
@@ -24,17 +22,16 @@
 	trouble  bool // whether the disruption takes place
 	start    time.Time
 	dir      string // temporary folder for logs
-	store    *standin.StoreServer
-	runs     *standin.RunLog
+	store    *store
 	gateways []*gateway
 
 	stop    chan struct{}
 	renewal sync.WaitGroup
 
 	mu      sync.Mutex
-	out     *os.File          // guarded by mu
-	renewed []*standin.Target // servers that renew their entries; guarded by mu
-	targets []*standin.Target // guarded by mu
+	out     *os.File  // guarded by mu
+	renewed []*target // servers that renew their entries; guarded by mu
+	targets []*target // guarded by mu
 }
 
 func newCaseRun(record string, trouble bool) (*caseRun, error) {
@@ -48,7 +45,7 @@
 	}
 	c := &caseRun{
 		trouble: trouble, start: time.Now(), dir: dir, out: out, stop: make(chan struct{}),
-		store: standin.NewStoreServer(), runs: standin.NewRunLog(),
+		store: newStore(),
 	}
 	c.renewal.Go(c.renewLoop)
 	c.note("the disruption takes place: %v", trouble)
@@ -59,19 +56,24 @@
 func (c *caseRun) close() {
 	close(c.stop)
 	c.renewal.Wait()
-	for _, g := range c.gateways {
-		g.kill()
-	}
+	c.killAll()
 	for _, t := range c.targets {
-		t.Stop()
+		t.crash()
 	}
-	c.store.Close()
+	c.store.close()
 	if os.Getenv("KEEP_LOGS") == "" {
 		_ = os.RemoveAll(c.dir)
 	}
 	_ = c.out.Close()
 }
 
+// killAll ends the processes of all gateways.
+func (c *caseRun) killAll() {
+	for _, g := range c.gateways {
+		g.kill()
+	}
+}
+
 // note writes a line with the time since the start to the record.
 func (c *caseRun) note(format string, args ...any) {
 	c.mu.Lock()
@@ -80,11 +82,9 @@
 }
 
 // addTarget starts a backend server that renews its entry.
-func (c *caseRun) addTarget(service, id, site string, processing time.Duration) (*standin.Target, error) {
-	t := standin.NewTarget(c.store.Store, c.runs, service, id, site)
-	t.Slots = 6
-	t.ProcessingTime = processing
-	if err := t.Start(""); err != nil {
+func (c *caseRun) addTarget(service, id, site string, processing time.Duration) (*target, error) {
+	t := newTarget(c.store, service, id, site, processing)
+	if err := t.start(""); err != nil {
 		return nil, err
 	}
 	c.mu.Lock()
@@ -95,7 +95,7 @@
 }
 
 // removeEntry removes the entry of a server that goes on serving. It returns when the store has acknowledged this.
-func (c *caseRun) removeEntry(t *standin.Target) time.Time {
+func (c *caseRun) removeEntry(t *target) time.Time {
 	c.mu.Lock()
 	for i, other := range c.renewed {
 		if other == t {
@@ -104,7 +104,7 @@
 		}
 	}
 	c.mu.Unlock()
-	t.Deregister()
+	c.store.write(nil, "servers/"+t.id)
 	return time.Now()
 }
 
@@ -119,7 +119,7 @@
 		}
 		c.mu.Lock()
 		for _, t := range c.renewed {
-			t.Renew()
+			t.beat()
 		}
 		c.mu.Unlock()
 	}
--- a/review/standin/chunked_bodies.go
+++ b/review/standin/chunked_bodies.go
@@ -8,8 +8,6 @@
 	"fmt"
 	"net/http"
 	"time"
-
-	"github.com/bilberryline/bilberryline/platform/standin"
 )
 
 func init() { cases["chunked-bodies"] = chunkedBodies }
@@ -23,7 +21,9 @@
 
 // chunkedBodies checks DENIED: requests whose bodies are sent in one chunk of 24,000 bytes must not be refused.
 func chunkedBodies(c *caseRun) (broken bool, err error) {
-	standin.WriteConfiguration(c.store.Store, 3, standin.Route{Prefix: "/book/", Service: "rounds", Timeout: "2000ms", Objective: "500ms"})
+	if err := writeConfiguration(c.store, route{prefix: "/book/", service: "rounds", timeout: "2000ms", slo: "500ms"}); err != nil {
+		return false, err
+	}
 	for i, id := range []string{"i-a1", "i-a2", "i-a3", "i-a4"} {
 		if _, err := c.addTarget("rounds", id, sites[i%len(sites)], 20*time.Millisecond); err != nil {
 			return false, err
@@ -36,14 +36,14 @@
 	for i := range bookings {
 		g := c.gateways[i%len(c.gateways)]
 		id := fmt.Sprintf("%s-%06d", g.name, i)
-		resp, err := c.sendRaw(g, bookingMessage(id, c.trouble))
+		status, header, err := c.sendRaw(g, bookingMessage(id, c.trouble))
 		if err != nil {
 			c.note("request %s via %s: %v", id, g.name, err)
 			continue
 		}
-		signature := resp.Header.Get("X-Bilberryline-Response-Signature")
-		c.note("request %s via %s: status %d, signature %q, reason %q, ran at %v", id, g.name, resp.StatusCode, signature, resp.Header.Get("Proxy-Status"), c.runs.TargetsOf(id))
-		if resp.StatusCode >= 400 && resp.StatusCode < 500 && signature == "" {
+		signature := header.Get("X-Bilberryline-Response-Signature")
+		c.note("request %s via %s: status %d, signature %q, reason %q", id, g.name, status, signature, header.Get("Proxy-Status"))
+		if status >= 400 && status < 500 && signature == "" {
 			denied++
 		}
 	}
@@ -55,7 +55,7 @@
 // bookingMessage returns a request with a body of bodyBytes, sent as one chunk or else with its length.
 func bookingMessage(id string, chunked bool) []byte {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "POST /book/1 HTTP/1.1\r\nHost: %s\r\nX-Bilberryline-Request-Id: %s\r\nX-Bilberryline-Deadline-Ms: 4000\r\n", standin.VirtualHost, id)
+	fmt.Fprintf(&b, "POST /book/1 HTTP/1.1\r\nHost: %s\r\nX-Bilberryline-Request-Id: %s\r\nX-Bilberryline-Deadline-Ms: 4000\r\n", virtualHost, id)
 	body := bytes.Repeat([]byte("a"), bodyBytes)
 	if chunked {
 		fmt.Fprintf(&b, "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
@@ -65,23 +65,23 @@
 	return b.Bytes()
 }
 
-// sendRaw sends a message on a new connection and reads the head of the response.
-func (c *caseRun) sendRaw(g *gateway, message []byte) (*http.Response, error) {
+// sendRaw sends a message on a new connection and returns the status and the header of the response.
+func (c *caseRun) sendRaw(g *gateway, message []byte) (status int, header http.Header, err error) {
 	conn, err := g.dial()
 	if err != nil {
-		return nil, err
+		return 0, nil, err
 	}
 	defer conn.Close()
 	if err := conn.SetDeadline(time.Now().Add(4 * time.Second)); err != nil {
-		return nil, err
+		return 0, nil, err
 	}
 	if _, err := conn.Write(message); err != nil {
-		return nil, err
+		return 0, nil, err
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
-		return nil, err
+		return 0, nil, err
 	}
 	_ = resp.Body.Close()
-	return resp, nil
+	return resp.StatusCode, resp.Header, nil
 }
--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -41,7 +41,7 @@
 var network = fmt.Sprintf("127.%d.%d", 16+rand.IntN(200), rand.IntN(250))
 
 func newGateway(c *caseRun, name, site string, index int) (*gateway, error) {
-	storeAddress, err := c.store.Listen(name)
+	storeAddress, err := c.store.listen(name)
 	if err != nil {
 		return nil, err
 	}
@@ -89,7 +89,7 @@
 	}
 	found := runLine.FindStringSubmatch(string(text))
 	if found == nil {
-		return nil, fmt.Errorf("%s has no command", deployFile)
+		return nil, errNoCommand
 	}
 	return strings.Fields(found[1]), nil
 }
@@ -153,7 +153,7 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("%s isn't ready after %s", g.name, limit)
+	return fmt.Errorf("%s: %w", g.name, errNotReady)
 }
 
 // awaitExit waits for the end of the process.
@@ -163,7 +163,7 @@
 		g.run.note("%s: process ended", g.name)
 		return nil
 	case <-time.After(limit):
-		return fmt.Errorf("%s still runs after %s", g.name, limit)
+		return fmt.Errorf("%s: %w", g.name, errStillRuns)
 	}
 }
 
--- a/review/standin/lost_machines.go
+++ b/review/standin/lost_machines.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/bilberryline/bilberryline/internal/rendezvous"
-	"github.com/bilberryline/bilberryline/platform/standin"
 )
 
 func init() { cases["lost-machines"] = lostMachines }
@@ -26,7 +25,9 @@
 // lostMachines checks DRAIN: half of the machines lose power for some seconds, and a server's entry is removed at that
 // moment. The other machines, which stay in touch, must not send requests to that server later than the limit.
 func lostMachines(c *caseRun) (broken bool, err error) {
-	standin.WriteConfiguration(c.store.Store, 3, standin.Route{Prefix: "/look/", Service: "rounds", Idempotent: true, Timeout: "1500ms", Objective: "400ms"})
+	if err := writeConfiguration(c.store, route{prefix: "/look/", service: "rounds", idempotent: true, timeout: "1500ms", slo: "400ms"}); err != nil {
+		return false, err
+	}
 	for _, id := range []string{"i-a1", "i-a2", "i-a3", "i-a4"} {
 		if _, err := c.addTarget("rounds", id, "cluj-a", 10*time.Millisecond); err != nil {
 			return false, err
@@ -52,7 +53,7 @@
 	time.Sleep(50 * time.Millisecond)
 	leaving := c.targets[0]
 	acknowledged := c.removeEntry(leaving)
-	c.note("the entry of server %s is removed; the server goes on serving", leaving.ID)
+	c.note("the entry of server %s is removed; the server goes on serving", leaving.id)
 	time.Sleep(darkTime)
 	if c.trouble {
 		for _, g := range lost {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -10,6 +10,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes.
@@ -40,6 +42,14 @@
 		return exitCannotRun
 	}
 	defer c.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		c.note("the case was interrupted")
+		c.killAll()
+		os.Exit(exitCannotRun)
+	}()
 	broken, err := play(c)
 	switch {
 	case err != nil:
--- a/review/standin/missed_removal.go
+++ b/review/standin/missed_removal.go
@@ -3,12 +3,9 @@
 package main
 
 import (
-	"errors"
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/bilberryline/bilberryline/platform/standin"
 )
 
 func init() { cases["missed-removal"] = missedRemoval }
@@ -26,7 +23,9 @@
 // meanwhile. The other machine is partitioned from the store for some seconds. Once it is in touch again, it must not send
 // requests to that server.
 func missedRemoval(c *caseRun) (broken bool, err error) {
-	standin.WriteConfiguration(c.store.Store, 3, standin.Route{Prefix: "/look/", Service: "rounds", Idempotent: true, Timeout: "1500ms", Objective: "400ms"})
+	if err := writeConfiguration(c.store, route{prefix: "/look/", service: "rounds", idempotent: true, timeout: "1500ms", slo: "400ms"}); err != nil {
+		return false, err
+	}
 	for i, id := range []string{"i-a1", "i-a2", "i-a3", "i-a4", "i-a5", "i-a6"} {
 		if _, err := c.addTarget("rounds", id, sites[i%2], 40*time.Millisecond); err != nil {
 			return false, err
@@ -41,10 +40,10 @@
 		watcher, follower = follower, watcher
 	}
 	if !watcher.watchesStore() || follower.watchesStore() {
-		return false, errors.New("not exactly one gateway watches the store")
+		return false, errWatchers
 	}
 	leaving := c.targetOf(follower.site)
-	c.note("%s watches the store, %s follows it, server %s will leave", watcher.name, follower.name, leaving.ID)
+	c.note("%s watches the store, %s follows it, server %s will leave", watcher.name, follower.name, leaving.id)
 	k := newCaller(c)
 	stop := make(chan struct{})
 	var sender sync.WaitGroup
@@ -56,7 +55,7 @@
 	cutEnd := time.Now()
 	if c.trouble {
 		c.note("%s is partitioned from the store for %s", follower.name, cutTime)
-		c.store.SetFault(follower.name, standin.Fault{Silent: true})
+		c.store.cutOff(follower.name, true)
 		cutEnd = cutEnd.Add(cutTime)
 	}
 	if err := watcher.awaitExit(grace); err != nil {
@@ -64,7 +63,7 @@
 	}
 	time.Sleep(restartDelay / 2)
 	acknowledged := c.removeEntry(leaving)
-	c.note("the entry of server %s is removed; the server goes on serving for %s", leaving.ID, serveTime)
+	c.note("the entry of server %s is removed; the server goes on serving for %s", leaving.id, serveTime)
 	time.Sleep(restartDelay / 2)
 	if err := watcher.start(); err != nil {
 		return false, err
@@ -74,20 +73,20 @@
 	}
 	c.note("%s is ready again", watcher.name)
 	time.Sleep(time.Until(cutEnd))
-	c.store.SetFault(follower.name, standin.Fault{})
+	c.store.cutOff(follower.name, false)
 	c.note("%s reaches the store", follower.name)
 	time.Sleep(serveTime - time.Since(acknowledged))
-	leaving.Stop()
-	c.note("server %s ends", leaving.ID)
+	leaving.crash()
+	c.note("server %s ends", leaving.id)
 	close(stop)
 	sender.Wait()
 	return c.reportLateArrivals(k, leaving, acknowledged, cutEnd.Add(stability)), nil
 }
 
 // targetOf returns a server of a site.
-func (c *caseRun) targetOf(site string) *standin.Target {
+func (c *caseRun) targetOf(site string) *target {
 	for _, t := range c.targets {
-		if t.Site == site {
+		if t.site == site {
 			return t
 		}
 	}
@@ -96,7 +95,7 @@
 
 // reportLateArrivals reports whether a server got requests later than drain after the acknowledgement of its leaving that
 // were sent at or after inTouch.
-func (c *caseRun) reportLateArrivals(k *caller, t *standin.Target, acknowledged, inTouch time.Time) bool {
+func (c *caseRun) reportLateArrivals(k *caller, t *target, acknowledged, inTouch time.Time) bool {
 	sent := map[string]request{}
 	answered := 0
 	for _, r := range k.all() {
@@ -107,13 +106,13 @@
 		}
 	}
 	late := 0
-	for _, run := range c.runs.RunsAt(t.ID) {
-		r := sent[run.RequestID]
-		if run.Started.Sub(acknowledged) > drain && !r.sentAt.Before(inTouch) {
+	for _, run := range t.ran() {
+		r := sent[run.id]
+		if run.at.Sub(acknowledged) > drain && !r.sentAt.Before(inTouch) {
 			late++
-			c.note("request %s reaches %s at %.3f, %.3f s after the acknowledgement", r.id, t.ID, run.Started.Sub(c.start).Seconds(), run.Started.Sub(acknowledged).Seconds())
+			c.note("request %s reaches %s at %.3f, %.3f s after the acknowledgement", r.id, t.id, run.at.Sub(c.start).Seconds(), run.at.Sub(acknowledged).Seconds())
 		}
 	}
-	c.note("%d requests, %d answered with 200; %d of them reached %s too late", len(sent), answered, late, t.ID)
+	c.note("%d requests, %d answered with 200; %d of them reached %s too late", len(sent), answered, late, t.id)
 	return late > 0
 }
--- a/review/standin/repeated_crash.go
+++ b/review/standin/repeated_crash.go
@@ -3,12 +3,9 @@
 package main
 
 import (
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/bilberryline/bilberryline/platform/standin"
 )
 
 func init() { cases["repeated-crash"] = repeatedCrash }
@@ -28,14 +25,16 @@
 // repeatedCrash checks BUDGET: a request crashes each server that begins to run it, and its caller sends it again and
 // again at the machines of its data centre. After the third crash it may reach servers in three more retries at most.
 func repeatedCrash(c *caseRun) (broken bool, err error) {
-	standin.WriteConfiguration(c.store.Store, 3, standin.Route{Prefix: "/pay/", Service: "ledger", Timeout: "1200ms", Objective: "300ms"})
+	if err := writeConfiguration(c.store, route{prefix: "/pay/", service: "ledger", timeout: "1200ms", slo: "300ms"}); err != nil {
+		return false, err
+	}
 	for id, site := range map[string]string{"i-b1": "pitesti-b", "i-a1": "cluj-a", "i-a2": "cluj-a", "i-a3": "cluj-a"} {
 		t, err := c.addTarget("ledger", id, site, 40*time.Millisecond)
 		if err != nil {
 			return false, err
 		}
 		if c.trouble {
-			t.CrashPath = crashPath
+			t.crashPath = crashPath
 		}
 	}
 	if err := c.startGatewaysIn("pitesti-b", "pitesti-b", "cluj-a"); err != nil {
@@ -55,7 +54,7 @@
 		g := c.gateways[i%2]
 		r := k.send(g, "PUT", crashPath, nil, 1200*time.Millisecond)
 		sent = append(sent, r)
-		c.note("request %s to %s, sent at %.3f via %s: status %d, ran at %v", r.id, crashPath, r.sentAt.Sub(c.start).Seconds(), g.name, r.status, c.runs.TargetsOf(r.id))
+		c.note("request %s to %s, sent at %.3f via %s: status %d, ran at %v", r.id, crashPath, r.sentAt.Sub(c.start).Seconds(), g.name, r.status, c.ranAt(r.id))
 		time.Sleep(repeatInterval)
 	}
 	close(stop)
@@ -69,7 +68,7 @@
 	runs, retries := 0, 0
 	var third time.Time
 	for _, r := range sent {
-		ran := len(c.runs.TargetsOf(r.id))
+		ran := len(c.ranAt(r.id))
 		if runs >= 3 && ran > 0 && r.sentAt.Sub(third) > stability {
 			retries++
 		}
@@ -98,27 +97,29 @@
 		case <-time.After(20 * time.Millisecond):
 		}
 		for _, t := range c.targets {
-			if !refuses(t.Address()) {
+			if !t.hasCrashed() {
 				continue
 			}
 			crashes.Add(1)
-			c.note("server %s has crashed", t.ID)
+			c.note("server %s has crashed", t.id)
 			time.Sleep(returnTime)
-			if err := t.Start(t.Address()); err != nil {
-				c.note("server %s doesn't start: %v", t.ID, err)
+			if err := t.start(t.address); err != nil {
+				c.note("server %s doesn't start: %v", t.id, err)
 				continue
 			}
-			c.note("server %s is back under its id", t.ID)
+			c.note("server %s is back under its id", t.id)
 		}
 	}
 }
 
-// refuses reports whether an address refuses connections.
-func refuses(address string) bool {
-	conn, err := net.DialTimeout("tcp", address, time.Second)
-	if err != nil {
-		return true
+// ranAt returns the servers that have begun to run a request, one entry for each run.
+func (c *caseRun) ranAt(request string) (ids []string) {
+	for _, t := range c.targets {
+		for _, run := range t.ran() {
+			if run.id == request {
+				ids = append(ids, t.id)
+			}
+		}
 	}
-	_ = conn.Close()
-	return false
+	return ids
 }
