Send followers the removals that precede their source's history

Cause: a host that has read the whole store holds no removals from before that read, but took its history as complete from revision 0. It answered a follower with an older position with the changes since then, without these removals, and the follower's position moved past them. Ruled out: the cut of the follower from the store (the removal is missing with the store reachable again) and a lost update (both hosts log the same position).

Change: the registry keeps the revision after which it knows every removal. It rises with a full read of the store and with dropped tombstones, travels with full updates, and a follower below it gets a full update, also one that is already connected. The same gap on related paths: a source that reads the whole store again while it serves followers, and a removal of a target that the source never knew, which was recorded without a change number and therefore not passed on.

--- a/internal/registry/batch.go
+++ b/internal/registry/batch.go
@@ -23,6 +23,8 @@
 	Relay bool
 	// Full reports whether the batch holds every record. Records that a full batch lacks have been removed.
 	Full bool
+	// HistoryStart is the store revision after which a full batch includes every removal as a tombstone.
+	HistoryStart uint64
 
 	Targets       []Target
 	Hosts         []Host
--- a/internal/registry/convert.go
+++ b/internal/registry/convert.go
@@ -58,6 +58,12 @@
 		Relay:       u.Relay,
 		Full:        u.Whole,
 	}
+	if u.Whole {
+		b.HistoryStart = u.HistoryStart
+		if b.HistoryStart == 0 { // sent by a build that doesn't know the field
+			b.HistoryStart = u.Position
+		}
+	}
 	targets, hosts := u.Targets, u.Hosts
 	if len(u.Packed) > 0 {
 		all, err := unpackRecords(u.Packed)
--- a/internal/registry/merge.go
+++ b/internal/registry/merge.go
@@ -32,8 +32,12 @@
 	}
 }
 
-// advanceFreshnessLocked moves the position and the time of the last confirmation forward, never back.
+// advanceFreshnessLocked moves the position and the time of the last confirmation forward, never back. A full batch
+// whose removals begin after the known position leaves a gap in the history.
 func (r *Registry) advanceFreshnessLocked(b Batch) {
+	if b.Full && r.freshness.Position < b.HistoryStart {
+		r.historyStart = max(r.historyStart, b.HistoryStart)
+	}
 	r.freshness.Position = max(r.freshness.Position, b.Position)
 	if b.ConfirmedAt.After(r.freshness.ConfirmedAt) {
 		r.freshness.ConfirmedAt = b.ConfirmedAt
@@ -64,8 +68,10 @@
 		return false
 	}
 	if t.Removed && old == nil {
-		old = &targetRecord{Target: Target{ID: t.ID, Removed: true}}
-		r.targets[t.ID] = old
+		// Followers may know the target, so the removal is a change for them.
+		tombstone := Target{ID: t.ID, Revision: t.Revision, Removed: true}
+		r.targets[t.ID] = &targetRecord{Target: tombstone, latestRevision: t.Revision, sequence: r.nextSequenceLocked(), removedAt: now}
+		return true
 	}
 	if t.Removed {
 		return r.removeTargetLocked(old, t.Revision, now)
@@ -243,13 +249,13 @@
 	}
 	for id, t := range r.targets {
 		if t.Removed && now.Sub(t.removedAt) > tombstoneTTL {
-			r.prunedRevision = max(r.prunedRevision, t.latestRevision)
+			r.historyStart = max(r.historyStart, t.latestRevision)
 			delete(r.targets, id)
 		}
 	}
 	for id, h := range r.hosts {
 		if h.Removed && now.Sub(h.removedAt) > tombstoneTTL {
-			r.prunedRevision = max(r.prunedRevision, h.Revision)
+			r.historyStart = max(r.historyStart, h.Revision)
 			delete(r.hosts, id)
 		}
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -59,7 +59,7 @@
 	sequence              uint64
 	configurationSequence uint64
 	freshness             Freshness
-	prunedRevision        uint64 // highest revision of a dropped tombstone
+	historyStart          uint64 // every later change is known, removals included; earlier removals may be missing
 	delayedRemovals       map[string]delayedRemoval
 	delayRemovalsUntil    time.Time
 	subscribers           map[*subscriber]struct{}
--- a/internal/registry/serve.go
+++ b/internal/registry/serve.go
@@ -12,7 +12,7 @@
 
 // subscriber is a follower that this host serves. Its fields are guarded by Registry.mu.
 type subscriber struct {
-	position     uint64 // store revision up to which the follower knew all changes when it subscribed
+	position     uint64 // store revision up to which the follower knows all changes
 	full         bool   // the next update must be a full one
 	started      bool   // at least one update has been sent
 	sentSequence uint64 // number of the newest local change sent to the follower
@@ -63,11 +63,7 @@
 func (r *Registry) subscribe(position uint64) *subscriber {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	sub := &subscriber{
-		position: position,
-		full:     position == 0 || position < r.prunedRevision,
-		changed:  make(chan struct{}, 1),
-	}
+	sub := &subscriber{position: position, changed: make(chan struct{}, 1)}
 	r.subscribers[sub] = struct{}{}
 	return sub
 }
@@ -88,11 +84,13 @@
 	}
 }
 
-// nextUpdate returns an update with the changes that the follower doesn't have yet.
+// nextUpdate returns an update with the changes that the follower doesn't have yet. It is a full update if removals
+// that the follower may not know are missing from the history.
 func (r *Registry) nextUpdate(sub *subscriber) *registrypb.Update {
 	now := r.cfg.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	sub.full = sub.full || sub.position == 0 || sub.position < r.historyStart
 	u := &registrypb.Update{
 		Position: r.freshness.Position,
 		AgeMs:    ageMs(now, r.freshness.ConfirmedAt),
@@ -103,6 +101,7 @@
 	}
 	if u.Whole {
 		u.Packed = r.packRecordsLocked(now)
+		u.HistoryStart = r.historyStart
 	} else {
 		r.addMissingLocked(u, sub, now)
 	}
@@ -112,6 +111,10 @@
 	sub.full = sub.full && !u.Whole
 	sub.started = true
 	sub.sentSequence = r.sequence
+	sub.position = max(sub.position, r.freshness.Position)
+	if u.Whole {
+		sub.position = max(sub.position, r.historyStart)
+	}
 	return u
 }
 
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -84,6 +84,9 @@
 // mergeFromStore merges a batch that the store has confirmed at the given time.
 func (r *Registry) mergeFromStore(b Batch, confirmedAt time.Time) {
 	b.ConfirmedAt = confirmedAt
+	if b.Full {
+		b.HistoryStart = b.Position // the store returns no removed records
+	}
 	if last := r.Freshness().ConfirmedAt; !last.IsZero() {
 		r.delayRemovalsAfterOutage(last, confirmedAt)
 	}
