Take a lost source for no outage of the store

Cause: (1) the first host that turned to the store took the age of its last confirmation for an outage of the store, although it had only lost its source, and delayed all removals. (2) A delayed removal was held back while the position moved past it. A host that followed the delaying host for a moment took over the position, asked its next source for later changes only and never learned of the removal.

Change: an outage needs a failed call, at this host or passed on by the source it followed; a call that fails long after its time limit shows a standstill of this host and doesn't count. A removal is merged and sent at once, with the time for which the target stays in use. A model test of hosts that read the store, restart and follow each other in any order found three more ways to the same end, mended here: a renewed record hid that a target had been removed in between, a tombstone in a full update hid a newer removal, and a lagging source brought a removed target back.

TestMergeIsIndependentOfBatchOrder merged single changes whose positions claimed knowledge of all earlier changes, against the contract of Batch.Position. It now draws either batches that fulfil it or batches without a position; the check is the same.

--- a/internal/registry/batch.go
+++ b/internal/registry/batch.go
@@ -17,10 +17,19 @@
 	Position uint64
 	// ConfirmedAt is when the store last confirmed the position.
 	ConfirmedAt time.Time
+	// FromStore reports whether the records were read from the store, where targets renew theirs all the time. Hosts
+	// send each other changes only.
+	FromStore bool
 	// Direct reports whether the sender watches the store itself.
 	Direct bool
 	// Relay reports whether the sender follows a host that watches the store itself.
 	Relay bool
+	// StoreFailed reports whether calls to the store have failed since it confirmed the position, at the sender or the
+	// host that it follows.
+	StoreFailed bool
+	// RetainUntil is the time until which targets that the batch removes stay in use. It is zero if removals take
+	// effect at once. Tombstones from another host have a time of their own.
+	RetainUntil time.Time
 	// Full reports whether the batch holds every record. Records that a full batch lacks have been removed.
 	Full bool
 	// HistoryStart is the store revision after which a full batch includes every removal as a tombstone.
--- a/internal/registry/convert.go
+++ b/internal/registry/convert.go
@@ -8,9 +8,12 @@
 
 func targetToProto(t *Target, now time.Time) *registrypb.Target {
 	m := &registrypb.Target{Id: t.ID, Revision: t.Revision, Gone: t.Removed}
-	if t.Removed {
+	if !t.inUse(now) {
 		return m
 	}
+	if t.Removed {
+		m.RetainMs = uint32(t.RetainedUntil.Sub(now).Milliseconds())
+	}
 	m.Service, m.Address, m.Site = t.Service, t.Address, t.Site
 	m.Slots, m.Draining = uint32(t.Slots), t.Draining
 	m.ColdMs = uint32(max(0, t.ColdUntil.Sub(now).Milliseconds()))
@@ -28,6 +31,9 @@
 	if m.ColdMs > 0 {
 		t.ColdUntil = now.Add(time.Duration(m.ColdMs) * time.Millisecond)
 	}
+	if m.RetainMs > 0 {
+		t.RetainedUntil = now.Add(time.Duration(m.RetainMs) * time.Millisecond)
+	}
 	if m.StartedMs != 0 {
 		t.Started = time.UnixMilli(m.StartedMs)
 	}
@@ -56,6 +62,7 @@
 		ConfirmedAt: now.Add(-time.Duration(u.AgeMs) * time.Millisecond),
 		Direct:      u.Direct,
 		Relay:       u.Relay,
+		StoreFailed: u.StoreFailed,
 		Full:        u.Whole,
 	}
 	if u.Whole {
--- a/internal/registry/history_test.go
+++ b/internal/registry/history_test.go
@@ -10,9 +10,9 @@
 )
 
 // feed merges the next update of source for sub into follower.
-func feed(t *testing.T, follower, source *Registry, sub *subscriber) {
+func feed(t *testing.T, follower, source *Registry, sub *subscriber, now clock.Clock) {
 	t.Helper()
-	b, err := batchFromProto(source.nextUpdate(sub), time.Now())
+	b, err := batchFromProto(source.nextUpdate(sub), now.Now())
 	is.New(t).NoErr(err)
 	follower.Merge(b)
 }
@@ -30,7 +30,7 @@
 	is := is.New(t)
 	follower := loaded(10, readyTarget("stays", 3), readyTarget("leaves", 4))
 	restarted := loaded(20, readyTarget("stays", 3)) // "leaves" was removed at 15
-	feed(t, follower, restarted, restarted.subscribe(follower.Freshness().Position))
+	feed(t, follower, restarted, restarted.subscribe(follower.Freshness().Position), clock.System{})
 	is.Equal(len(follower.View().Targets["shop"]), 1)
 	is.Equal(follower.View().Targets["shop"][0].ID, "stays")
 }
@@ -42,10 +42,10 @@
 	source := loaded(10, readyTarget("stays", 3))
 	follower := loaded(12, readyTarget("stays", 3), readyTarget("short-lived", 11))
 	sub := source.subscribe(follower.Freshness().Position)
-	feed(t, follower, source, sub)
+	feed(t, follower, source, sub, clock.System{})
 	is.Equal(len(follower.View().Targets["shop"]), 2)
 	source.mergeFromStore(Batch{Position: 20, Full: true, Targets: []Target{readyTarget("stays", 3)}}, time.Now())
-	feed(t, follower, source, sub)
+	feed(t, follower, source, sub, clock.System{})
 	is.Equal(len(follower.View().Targets["shop"]), 1)
 	is.True(!source.nextUpdate(sub).Whole) // once is enough
 }
@@ -56,9 +56,9 @@
 	source := loaded(10, readyTarget("stays", 3))
 	follower := loaded(12, readyTarget("stays", 3), readyTarget("short-lived", 11))
 	sub := source.subscribe(follower.Freshness().Position)
-	feed(t, follower, source, sub)
+	feed(t, follower, source, sub, clock.System{})
 	source.mergeFromStore(Batch{Position: 14, Targets: []Target{{ID: "short-lived", Removed: true, Revision: 13}}}, time.Now())
-	feed(t, follower, source, sub)
+	feed(t, follower, source, sub, clock.System{})
 	is.Equal(len(follower.View().Targets["shop"]), 1)
 }
 
@@ -69,7 +69,7 @@
 	first := loaded(10, readyTarget("stays", 3), readyTarget("leaves", 4))
 	first.mergeFromStore(Batch{Position: 20, Targets: []Target{{ID: "leaves", Removed: true, Revision: 15}}}, time.Now())
 	second := newTestRegistry(clock.System{})
-	feed(t, second, first, first.subscribe(0))
+	feed(t, second, first, first.subscribe(0), clock.System{})
 	is.Equal(second.historyStart, uint64(10))
 
 	behind := loaded(12, readyTarget("stays", 3), readyTarget("leaves", 4))
--- a/internal/registry/merge.go
+++ b/internal/registry/merge.go
@@ -14,15 +14,23 @@
 // Merge adopts each record that is newer than the known one, and publishes a new view when something has
 // changed.
 func (r *Registry) Merge(b Batch) {
+	r.update(func(now time.Time) bool {
+		changed := r.mergeLocked(b, now)
+		r.advanceFreshnessLocked(b)
+		return changed
+	})
+}
+
+// update applies a change of the state, and publishes a new view if apply reports that something has changed.
+func (r *Registry) update(apply func(now time.Time) (changed bool)) {
 	r.publishMu.Lock()
 	defer r.publishMu.Unlock()
 	now := r.cfg.Clock.Now()
 	r.mu.Lock()
-	changed := r.mergeLocked(b, now)
-	r.advanceFreshnessLocked(b)
+	changed := apply(now)
 	var v *View
 	if changed {
-		v = r.newViewLocked()
+		v = r.newViewLocked(now)
 		r.view.Store(v)
 		r.notifyLocked()
 	}
@@ -41,14 +49,18 @@
 	r.freshness.Position = max(r.freshness.Position, b.Position)
 	if b.ConfirmedAt.After(r.freshness.ConfirmedAt) {
 		r.freshness.ConfirmedAt = b.ConfirmedAt
+		r.freshness.StoreFailed = b.StoreFailed
 	}
 }
 
 func (r *Registry) mergeLocked(b Batch, now time.Time) bool {
 	r.reportOddLocked(b.Odd)
 	changed := false
-	for i := range b.Targets {
-		changed = r.mergeTargetLocked(b.Targets[i], now) || changed
+	for _, t := range b.Targets {
+		if t.Removed && t.RetainedUntil.IsZero() {
+			t.RetainedUntil = b.RetainUntil
+		}
+		changed = r.mergeTargetLocked(t, &b, now) || changed
 	}
 	for i := range b.Hosts {
 		changed = r.mergeHostLocked(b.Hosts[i], now) || changed
@@ -62,22 +74,26 @@
 	return changed
 }
 
-func (r *Registry) mergeTargetLocked(t Target, now time.Time) bool {
+// mergeTargetLocked merges a target's record or tombstone from a batch. It reports whether the view has changed.
+func (r *Registry) mergeTargetLocked(t Target, b *Batch, now time.Time) bool {
 	old := r.targets[t.ID]
 	if old != nil && t.Revision <= old.latestRevision {
 		return false
 	}
-	if t.Removed && old == nil {
-		// Followers may know the target, so the removal is a change for them.
-		tombstone := Target{ID: t.ID, Revision: t.Revision, Removed: true}
-		r.targets[t.ID] = &targetRecord{Target: tombstone, latestRevision: t.Revision, sequence: r.nextSequenceLocked(), removedAt: now}
-		return true
+	if old == nil && t.Revision <= r.freshness.Position && b.Position <= r.freshness.Position {
+		return false // removed before the known position; the sender hasn't learned of it yet
 	}
 	if t.Removed {
-		return r.removeTargetLocked(old, t.Revision, now)
+		return r.mergeRemovalLocked(old, t, now)
 	}
-	delete(r.delayedRemovals, t.ID)
 	if old != nil && old.sameAttributes(&t) {
+		if !b.FromStore || b.Full {
+			// The target may have been removed and registered again, and followers may know the removal.
+			rec := *old
+			rec.Revision, rec.sequence = t.Revision, r.nextSequenceLocked()
+			old = &rec
+			r.targets[t.ID] = old
+		}
 		old.latestRevision = t.Revision
 		return false
 	}
@@ -86,26 +102,26 @@
 	return true
 }
 
-// removeTargetLocked marks a target as removed. Shortly after an outage of the store it delays the removal
-// instead. It reports whether the target has been removed.
-func (r *Registry) removeTargetLocked(old *targetRecord, revision uint64, now time.Time) bool {
-	if !old.Removed && now.Before(r.delayRemovalsUntil) {
-		if _, delayed := r.delayedRemovals[old.ID]; !delayed {
-			r.delayedRemovals[old.ID] = delayedRemoval{revision: revision, dueAt: r.delayRemovalsUntil}
-		}
+// mergeRemovalLocked merges a tombstone that is newer than the known record old, which may be nil: followers may know
+// a target that this host doesn't know. It reports whether the tombstone is a change.
+func (r *Registry) mergeRemovalLocked(old *targetRecord, t Target, now time.Time) bool {
+	if old != nil && old.Removed {
+		rec := *old
+		rec.Revision, rec.latestRevision, rec.removedAt = t.Revision, t.Revision, now
+		r.targets[t.ID] = &rec
 		return false
 	}
-	old.latestRevision = revision
-	old.Revision = revision
-	old.removedAt = now
-	if old.Removed {
-		return false
+	rec := &targetRecord{Target: t, latestRevision: t.Revision, sequence: r.nextSequenceLocked(), removedAt: now}
+	if old != nil {
+		rec.Target = old.Target
+		rec.Removed, rec.Revision, rec.RetainedUntil = true, t.Revision, t.RetainedUntil
 	}
-	removed := *old
-	removed.Removed = true
-	removed.sequence = r.nextSequenceLocked()
-	r.targets[old.ID] = &removed
-	r.cfg.Events.Record(event.RegistryTarget, event.Fields{Service: old.Service, Target: old.ID, Revision: revision, Detail: "registration ended"})
+	r.targets[t.ID] = rec
+	detail := "registration ended"
+	if rec.inUse(now) {
+		detail += " after an outage of the store; in use for another " + rec.RetainedUntil.Sub(now).Round(time.Millisecond).String()
+	}
+	r.cfg.Events.Record(event.RegistryTarget, event.Fields{Service: rec.Service, Target: rec.ID, Revision: t.Revision, Detail: detail})
 	return true
 }
 
@@ -149,17 +165,18 @@
 func (r *Registry) removeMissingLocked(b Batch, now time.Time) bool {
 	present := make(map[string]bool, len(b.Targets)+len(b.Hosts))
 	for i := range b.Targets {
-		present[b.Targets[i].ID] = true
+		present[b.Targets[i].ID] = !b.Targets[i].Removed
 	}
 	changed := false
 	for id, t := range r.targets {
 		if !present[id] && !t.Removed && t.latestRevision <= b.Position {
-			changed = r.removeTargetLocked(t, b.Position, now) || changed
+			tombstone := Target{ID: id, Removed: true, Revision: b.Position, RetainedUntil: b.RetainUntil}
+			changed = r.mergeRemovalLocked(t, tombstone, now) || changed
 		}
 	}
 	clear(present)
 	for i := range b.Hosts {
-		present[b.Hosts[i].ID] = true
+		present[b.Hosts[i].ID] = !b.Hosts[i].Removed
 	}
 	for id, h := range r.hosts {
 		if !present[id] && !h.Removed && h.Revision <= b.Position {
@@ -202,7 +219,7 @@
 }
 
 // newViewLocked returns a view of the current state.
-func (r *Registry) newViewLocked() *View {
+func (r *Registry) newViewLocked(now time.Time) *View {
 	v := &View{
 		Routes:   r.routes,
 		Targets:  make(map[string][]*Target),
@@ -210,7 +227,7 @@
 		Position: r.freshness.Position,
 	}
 	for _, t := range r.targets {
-		if !t.Removed && !t.Draining {
+		if t.inUse(now) && !t.Draining {
 			v.Targets[t.Service] = append(v.Targets[t.Service], &t.Target)
 		}
 	}
@@ -222,7 +239,7 @@
 	return v
 }
 
-// runCleanup applies delayed removals that are due and drops expired tombstones until ctx ends.
+// runCleanup ends the use of retained targets and drops expired tombstones until ctx ends.
 func (r *Registry) runCleanup(ctx context.Context) {
 	for ctx.Err() == nil {
 		select {
@@ -230,24 +247,21 @@
 			return
 		case <-r.cfg.Clock.After(cleanupInterval):
 		}
-		if due := r.cleanup(r.cfg.Clock.Now()); len(due) > 0 {
-			r.Merge(Batch{Targets: due})
-		}
+		r.update(r.cleanupLocked)
 	}
 }
 
-// cleanup drops expired tombstones. It returns the tombstones of delayed removals that are due.
-func (r *Registry) cleanup(now time.Time) (due []Target) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for id, h := range r.delayedRemovals {
-		if !now.Before(h.dueAt) {
-			// The entry was missing during the whole delay, so its removal is valid up to the current position.
-			due = append(due, Target{ID: id, Removed: true, Revision: max(h.revision, r.freshness.Position)})
-			delete(r.delayedRemovals, id)
-		}
-	}
+// cleanupLocked ends the use of retained targets and drops expired tombstones. It reports whether the use of a target
+// has ended.
+func (r *Registry) cleanupLocked(now time.Time) (changed bool) {
 	for id, t := range r.targets {
+		if t.Removed && !t.RetainedUntil.IsZero() && !t.inUse(now) {
+			ended := *t
+			ended.RetainedUntil = time.Time{}
+			r.targets[id] = &ended
+			changed = true
+			r.cfg.Events.Record(event.RegistryTarget, event.Fields{Service: t.Service, Target: id, Revision: t.Revision, Detail: "not registered again after an outage of the store"})
+		}
 		if t.Removed && now.Sub(t.removedAt) > tombstoneTTL {
 			r.historyStart = max(r.historyStart, t.latestRevision)
 			delete(r.targets, id)
@@ -259,18 +273,7 @@
 			delete(r.hosts, id)
 		}
 	}
-	return due
-}
-
-// delayRemovalsAfterOutage delays removals of targets for removalDelay when the store has answered at now
-// after an outage of at least minOutage that began at since.
-func (r *Registry) delayRemovalsAfterOutage(since, now time.Time) {
-	if now.Sub(since) < r.timing.minOutage {
-		return
-	}
-	r.mu.Lock()
-	r.delayRemovalsUntil = now.Add(r.timing.removalDelay)
-	r.mu.Unlock()
+	return changed
 }
 
 func targetState(t *Target) string {
--- a/internal/registry/merge_test.go
+++ b/internal/registry/merge_test.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -45,13 +47,19 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var batches []Batch
 		want := map[string]Target{}
+		// A batch that has a position holds all changes up to it. One that holds a single change has none.
+		cumulative := rapid.Bool().Draw(t, "cumulative")
 		for rev := uint64(1); rev <= 12; rev++ {
 			id := rapid.SampledFrom([]string{"t1", "t2", "t3"}).Draw(t, "id")
 			target := readyTarget(id, rev)
 			target.Draining = rapid.Bool().Draw(t, "draining")
 			target.Removed = rapid.Bool().Draw(t, "gone")
 			want[id] = target
-			batches = append(batches, Batch{Targets: []Target{target}, Position: rev, Configuration: versionConfiguration(int(rev), rev)})
+			b := Batch{Targets: []Target{target}, Configuration: versionConfiguration(int(rev), rev)}
+			if cumulative {
+				b.Position, b.Targets = rev, slices.Collect(maps.Values(want))
+			}
+			batches = append(batches, b)
 		}
 		r := newTestRegistry(clock.System{})
 		for _, b := range rapid.Permutation(batches).Draw(t, "order") {
@@ -111,12 +119,14 @@
 	r := newTestRegistry(now)
 	r.mergeFromStore(Batch{Position: 1, Full: true, Targets: []Target{readyTarget("alive", 1), readyTarget("dead", 1)}}, now.Now())
 	now.Advance(10 * time.Second)
+	r.setStoreFailed()
 	r.mergeFromStore(Batch{Position: 9, Full: true}, now.Now())
 	is.Equal(len(r.View().Targets["shop"]), 2)
 	now.Advance(time.Second)
 	r.mergeFromStore(Batch{Position: 10, Targets: []Target{readyTarget("alive", 10)}}, now.Now())
+	is.Equal(len(r.View().Targets["shop"]), 2)
 	now.Advance(r.timing.removalDelay)
-	r.Merge(Batch{Targets: r.cleanup(now.Now())})
+	r.update(r.cleanupLocked)
 	is.Equal(len(r.View().Targets["shop"]), 1)
 	is.Equal(r.View().Targets["shop"][0].ID, "alive")
 }
--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -23,10 +23,3 @@
 	sequence  uint64
 	removedAt time.Time
 }
-
-// delayedRemoval is the removal of a target that takes effect only if the target hasn't registered again
-// by dueAt.
-type delayedRemoval struct {
-	revision uint64
-	dueAt    time.Time
-}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -60,8 +60,7 @@
 	configurationSequence uint64
 	freshness             Freshness
 	historyStart          uint64 // every later change is known, removals included; earlier removals may be missing
-	delayedRemovals       map[string]delayedRemoval
-	delayRemovalsUntil    time.Time
+	retainUntil           time.Time // removals that the store reports before this time are retained until then
 	subscribers           map[*subscriber]struct{}
 	oddReported           map[string]uint64    // revisions at which odd entries were reported, by key
 	timedOutAt            map[string]time.Time // when the updates of a followed host timed out, by host id
@@ -82,7 +81,6 @@
 			orDefault(cfg.TargetHeartbeat, defaultTargetHeartbeat), orDefault(cfg.ReregistrationLimit, defaultReregistrationLimit)),
 		targets:         make(map[string]*targetRecord),
 		hosts:           make(map[string]*hostRecord),
-		delayedRemovals: make(map[string]delayedRemoval),
 		subscribers:     make(map[*subscriber]struct{}),
 		oddReported:     make(map[string]uint64),
 		timedOutAt:      make(map[string]time.Time),
--- a/internal/registry/serve.go
+++ b/internal/registry/serve.go
@@ -96,6 +96,8 @@
 		AgeMs:    ageMs(now, r.freshness.ConfirmedAt),
 		Direct:   r.freshness.Direct,
 		Relay:    r.freshness.Relay,
+		// The follower must know of an outage of the store when it turns to the store itself.
+		StoreFailed: r.freshness.StoreFailed,
 		// A host without a position has no state yet, so its followers must not remove what it lacks.
 		Whole: sub.full && r.freshness.Position > 0,
 	}
--- a/internal/registry/target.go
+++ b/internal/registry/target.go
@@ -10,6 +10,9 @@
 	Revision uint64
 	// Removed is true in a tombstone: the registration has ended.
 	Removed bool
+	// RetainedUntil is the time until which a removed target stays in use, because its registration may have ended
+	// only because of an outage of the store. It is zero if the removal takes effect at once.
+	RetainedUntil time.Time
 	// Service is the name of the service that the target belongs to.
 	Service string
 	// Address is the target's IP address and port.
@@ -26,6 +29,9 @@
 	Started time.Time
 }
 
+// inUse reports whether the target is registered or still retained.
+func (t *Target) inUse(now time.Time) bool { return !t.Removed || now.Before(t.RetainedUntil) }
+
 // sameAttributes reports whether two records of a target agree, apart from their revisions and the remaining
 // warm-up.
 func (t *Target) sameAttributes(o *Target) bool {
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -25,6 +25,9 @@
 	// ConfirmedAt is when the store last confirmed the position, to this host or to the host that it
 	// follows.
 	ConfirmedAt time.Time
+	// StoreFailed reports whether calls to the store have failed since then, at this host or a host that it
+	// followed.
+	StoreFailed bool
 	// Direct reports whether this host watches the store itself.
 	Direct bool
 	// Relay reports whether this host's latest update came from a host that watches the store itself.
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -62,6 +62,9 @@
 	began := r.cfg.Clock.Now()
 	b, err := r.cfg.Store.Load(ctx, pageTimeout)
 	if err != nil {
+		if ctx.Err() == nil {
+			r.setStoreFailed()
+		}
 		return err
 	}
 	r.mergeFromStore(b, began)
@@ -71,10 +74,14 @@
 // mergeChanges reads and merges the changes since the known position. When there are none, the store may hold
 // the call for the given wait.
 func (r *Registry) mergeChanges(ctx context.Context, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	began, limit := r.cfg.Clock.Now(), wait+callTimeout
+	call, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	b, err := r.cfg.Store.Changes(ctx, r.Freshness().Position, wait)
+	b, err := r.cfg.Store.Changes(call, r.Freshness().Position, wait)
 	if err != nil {
+		if ctx.Err() == nil && !errors.Is(err, ErrHistoryGone) {
+			r.recordStoreFailure(began, limit)
+		}
 		return err
 	}
 	r.mergeFromStore(b, r.cfg.Clock.Now())
@@ -83,16 +90,44 @@
 
 // mergeFromStore merges a batch that the store has confirmed at the given time.
 func (r *Registry) mergeFromStore(b Batch, confirmedAt time.Time) {
-	b.ConfirmedAt = confirmedAt
+	b.FromStore, b.ConfirmedAt = true, confirmedAt
 	if b.Full {
 		b.HistoryStart = b.Position // the store returns no removed records
 	}
-	if last := r.Freshness().ConfirmedAt; !last.IsZero() {
-		r.delayRemovalsAfterOutage(last, confirmedAt)
-	}
+	b.RetainUntil = r.retentionEnd(confirmedAt)
 	r.Merge(b)
 }
 
+// retentionEnd returns the time until which targets whose registrations have ended stay in use, or the zero time. After
+// an outage of the store, registrations of healthy targets may have expired. A gap in the confirmations is no sign of
+// an outage by itself: this host may have lost its source, or stood still.
+func (r *Registry) retentionEnd(confirmedAt time.Time) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f := r.freshness
+	if f.StoreFailed && !f.ConfirmedAt.IsZero() && confirmedAt.Sub(f.ConfirmedAt) >= r.timing.minOutage {
+		r.retainUntil = confirmedAt.Add(r.timing.removalDelay)
+	}
+	if confirmedAt.Before(r.retainUntil) {
+		return r.retainUntil
+	}
+	return time.Time{}
+}
+
+// recordStoreFailure records that a call to the store which began at the given time has failed, although it was given
+// limit to succeed. If it took far longer, this host stood still, and the failure says nothing about the store.
+func (r *Registry) recordStoreFailure(began time.Time, limit time.Duration) {
+	if r.cfg.Clock.Now().Sub(began) <= limit+callTimeout {
+		r.setStoreFailed()
+	}
+}
+
+func (r *Registry) setStoreFailed() {
+	r.mu.Lock()
+	r.freshness.StoreFailed = true
+	r.mu.Unlock()
+}
+
 // setDirect records whether this host watches the store itself, and notifies the followers of a change.
 func (r *Registry) setDirect(direct bool) {
 	r.mu.Lock()
