Search for a source without waiting for lost hosts

Cause: a search for a source queried four hosts at a time and waited 250 ms for each group with a lost host, again in each pause that it left to better ranked hosts. Lost hosts keep their rank until their lease ends.

Change: a search starts twice as many further queries each 50 ms, hosts that don't answer are skipped for 2 s, and the pauses follow from the rank among the hosts that answer. Query timeouts come from the propagation limit. The loop around the sources can no longer run without a pause when a source is lost as soon as it is followed.

--- a/internal/registry/follow.go
+++ b/internal/registry/follow.go
@@ -83,7 +83,11 @@
 
 // watchesStore asks a host whether it watches the store itself and is up to date.
 func (r *Registry) watchesStore(ctx context.Context, id string) bool {
-	u := r.queryStatus(ctx, id)
+	return r.isSource(r.queryStatus(ctx, id))
+}
+
+// isSource reports whether a host with the given status watches the store itself and is up to date.
+func (r *Registry) isSource(u *registrypb.Update) bool {
 	return u.Direct && time.Duration(u.AgeMs)*time.Millisecond < r.timing.staleAfter
 }
 
@@ -95,24 +99,31 @@
 
 // queryStatus returns the freshness of a host. It returns an empty update when the host doesn't answer.
 func (r *Registry) queryStatus(ctx context.Context, id string) *registrypb.Update {
-	ctx, cancel := context.WithTimeout(ctx, openTimeout)
-	defer cancel()
-	u := &registrypb.Update{}
-	if err := r.cfg.Peers.Call(ctx, id, MethodStatus, &registrypb.Follow{}, u); err != nil {
+	u, err := r.callStatus(ctx, id)
+	if err != nil {
 		return &registrypb.Update{}
 	}
 	return u
 }
 
+// callStatus asks a host for its freshness.
+func (r *Registry) callStatus(ctx context.Context, id string) (*registrypb.Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.timing.queryTimeout)
+	defer cancel()
+	u := &registrypb.Update{}
+	err := r.cfg.Peers.Call(ctx, id, MethodStatus, &registrypb.Follow{}, u)
+	return u, err
+}
+
 // openFollow opens a stream of updates from a host, starting at a store revision.
 func (r *Registry) openFollow(ctx context.Context, id string, position uint64) (peer.Stream, error) {
-	open, cancel := context.WithTimeout(ctx, openTimeout)
+	open, cancel := context.WithTimeout(ctx, r.timing.queryTimeout)
 	defer cancel()
 	s, err := r.cfg.Peers.Open(open, id, MethodFollow)
 	if err != nil {
 		return nil, err
 	}
-	if err := s.SetDeadline(time.Now().Add(openTimeout)); err != nil {
+	if err := s.SetDeadline(time.Now().Add(r.timing.queryTimeout)); err != nil {
 		s.Close()
 		return nil, err
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -59,11 +59,11 @@
 	sequence              uint64
 	configurationSequence uint64
 	freshness             Freshness
-	historyStart          uint64 // every later change is known, removals included; earlier removals may be missing
+	historyStart          uint64    // every later change is known, removals included; earlier removals may be missing
 	retainUntil           time.Time // removals that the store reports before this time are retained until then
 	subscribers           map[*subscriber]struct{}
 	oddReported           map[string]uint64    // revisions at which odd entries were reported, by key
-	timedOutAt            map[string]time.Time // when the updates of a followed host timed out, by host id
+	skippedUntil          map[string]time.Time // hosts that are skipped as sources until the given time, by id
 	lease                 Lease
 	hostsChanged          chan struct{} // closed and replaced when the host list changes
 
@@ -79,12 +79,12 @@
 		cfg: cfg,
 		timing: newTiming(orDefault(cfg.PropagationLimit, defaultPropagationLimit),
 			orDefault(cfg.TargetHeartbeat, defaultTargetHeartbeat), orDefault(cfg.ReregistrationLimit, defaultReregistrationLimit)),
-		targets:         make(map[string]*targetRecord),
-		hosts:           make(map[string]*hostRecord),
-		subscribers:     make(map[*subscriber]struct{}),
-		oddReported:     make(map[string]uint64),
-		timedOutAt:      make(map[string]time.Time),
-		hostsChanged:    make(chan struct{}),
+		targets:      make(map[string]*targetRecord),
+		hosts:        make(map[string]*hostRecord),
+		subscribers:  make(map[*subscriber]struct{}),
+		oddReported:  make(map[string]uint64),
+		skippedUntil: make(map[string]time.Time),
+		hostsChanged: make(chan struct{}),
 	}
 	r.view.Store(&View{Targets: map[string][]*Target{}, Hosts: map[string]Host{}})
 	return r
--- a/internal/registry/search.go
+++ b/internal/registry/search.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/bilberryline/bilberryline/internal/rendezvous"
@@ -18,13 +17,6 @@
 	// initialPollInterval is the interval at which a host without any state looks for a source. It is a few
 	// times the latency between regions.
 	initialPollInterval = 50 * time.Millisecond
-	// initialQueryTimeout bounds a status query of a host without any state: two round trips between regions
-	// and a margin for a slow host. Hosts that start at the same time don't answer yet.
-	initialQueryTimeout = 100 * time.Millisecond
-	// queryBatchSize is the number of hosts that findSource queries at the same time.
-	queryBatchSize = 4
-	// maxQueriedHosts is the number of hosts that one search for a source queries at most.
-	maxQueriedHosts = 12
 	// rankingKey is the rendezvous hashing key for the ranking of hosts as sources.
 	rankingKey = "registry"
 )
@@ -48,10 +40,10 @@
 	if r.Freshness().Position == 0 {
 		return r.findInitialSource(ctx)
 	}
-	before := r.rankedBefore(r.cfg.Self.ID)
-	id := r.findSource(ctx, before)
-	for range roundsToWait(len(before)) {
-		if id != "" || r.sleep(ctx, roundPause) != nil {
+	id := r.findSource(ctx, r.rankedBefore(r.cfg.Self.ID))
+	// The search has found out which hosts don't answer, so that the rank is the one among the others.
+	for round := 0; id == "" && round < roundsToWait(len(r.rankedBefore(r.cfg.Self.ID))); round++ {
+		if r.sleep(ctx, roundPause) != nil {
 			break
 		}
 		id = r.findSource(ctx, r.rankedBefore(r.cfg.Self.ID))
@@ -84,14 +76,9 @@
 }
 
 // findAny checks up to maxQueriedHosts of the hosts concurrently. It returns the first one found to meet the
-// condition, or the empty string when there is none. A host without any state waits for responses no longer than
-// initialQueryTimeout.
+// condition, or the empty string when there is none that answers quickly.
 func (r *Registry) findAny(ctx context.Context, hosts []string, condition func(ctx context.Context, id string) bool) string {
-	limit := openTimeout
-	if r.Freshness().Position == 0 {
-		limit = initialQueryTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(ctx, r.timing.quickQueryTimeout)
 	defer cancel()
 	hosts = hosts[:min(len(hosts), maxQueriedHosts)]
 	replies := make(chan string, len(hosts))
@@ -111,22 +98,9 @@
 	return ""
 }
 
-// findSource returns the first of the hosts that watches the store itself, or the empty string when there is
-// none. It queries at most maxQueriedHosts hosts.
+// findSource returns the first of the hosts that watches the store itself, or the empty string when there is none.
 func (r *Registry) findSource(ctx context.Context, hosts []string) string {
-	hosts = hosts[:min(len(hosts), maxQueriedHosts)]
-	for batch := range slices.Chunk(hosts, queryBatchSize) {
-		watches := make([]bool, len(batch))
-		var queries sync.WaitGroup
-		for i, id := range batch {
-			queries.Go(func() { watches[i] = r.watchesStore(ctx, id) })
-		}
-		queries.Wait()
-		if i := slices.Index(watches, true); i >= 0 {
-			return batch[i]
-		}
-	}
-	return ""
+	return newSourceSearch(r, hosts).run(ctx)
 }
 
 // rankedBefore returns the hosts ranked before id, without this host and those in cooldown.
--- a/internal/registry/source.go
+++ b/internal/registry/source.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// openTimeout bounds opening a stream to another host, and a status query.
-	openTimeout = 250 * time.Millisecond
 	// betterSourceInitialDelay is the time before the first look for a better source. Hosts that lost their
 	// source at the same time all watch the store for a moment.
 	betterSourceInitialDelay = 200 * time.Millisecond
@@ -27,8 +25,13 @@
 // this one does.
 func (r *Registry) runSource(ctx context.Context) {
 	pause := minRetryDelay
-	var lastTry time.Time
+	var lastTry, began time.Time
 	for ctx.Err() == nil {
+		// A source that is lost as soon as it is followed must not make this a busy loop.
+		if r.sleep(ctx, r.timing.searchStagger-r.cfg.Clock.Now().Sub(began)) != nil {
+			return
+		}
+		began = r.cfg.Clock.Now()
 		r.discoverHosts(ctx)
 		if id := r.findRelay(ctx); id != "" {
 			r.followRelay(ctx, id)
--- a/internal/registry/timing.go
+++ b/internal/registry/timing.go
@@ -29,6 +29,15 @@
 	// loss on a link and cut connections last several seconds, and two timeouts in a row take longer than a draining
 	// target may stay unknown.
 	sourceCooldown time.Duration
+	// unresponsiveCooldown is how long a host that didn't answer a query is skipped as a source.
+	unresponsiveCooldown time.Duration
+	// queryTimeout bounds a status query of another host, and opening a stream to it.
+	queryTimeout time.Duration
+	// quickQueryTimeout bounds a query that has alternatives: of a relay of the same data centre, or by a host without
+	// any state, for which hosts that start at the same time don't answer yet.
+	quickQueryTimeout time.Duration
+	// searchStagger is the time after which a search for a source no longer waits for the hosts queried so far alone.
+	searchStagger time.Duration
 	// betterSourceInterval is how often a host looks for a better ranked source than its current one.
 	betterSourceInterval time.Duration
 	// minOutage is the outage of the store after which entries of healthy targets may have expired: an entry survives
@@ -50,6 +59,10 @@
 		watchInterval:        propagation / 5,
 		watchWait:            propagation / 8,
 		sourceCooldown:       3 * propagation,
+		unresponsiveCooldown: propagation,
+		queryTimeout:         propagation / 8,
+		quickQueryTimeout:    propagation / 20,
+		searchStagger:        propagation / 40,
 		betterSourceInterval: propagation * 3 / 2,
 		minOutage:            targetHeartbeat * 5 / 3,
 		removalDelay:         reregistration + reregistration/20,
