End the wait for a server when the caller has left

Cause: the wait of a request that isn't the head of its queue returns at once when its context is done, but the placement loop looked at the context only for the head, so it ran without blocking until the hold time ended.

Change: the wait returns the cause, and the placement ends with it. The other waiting loops were read; none has the fault.

--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -90,7 +90,9 @@
 				return choice{}, &NoServerError{Service: c.service.Name, Expected: best.expected, Registered: len(c.candidates())}
 			}
 		}
-		queue.wait(ctx, w, min(holdPollInterval, time.Until(holdEnd)))
+		if err := queue.wait(ctx, w, min(holdPollInterval, time.Until(holdEnd))); err != nil {
+			return choice{}, err
+		}
 	}
 }
 
--- a/internal/gateway/wait_queue.go
+++ b/internal/gateway/wait_queue.go
@@ -99,8 +99,9 @@
 	return q.waiters[0] == w
 }
 
-// wait blocks until w is woken, d has passed, or ctx is done.
-func (q *waitQueue) wait(ctx context.Context, w *waiter, d time.Duration) {
+// wait blocks until w is woken, d has passed, or ctx is done. If ctx is done, it returns the cause, and the caller must
+// not wait again: it would not block.
+func (q *waitQueue) wait(ctx context.Context, w *waiter, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
@@ -108,4 +109,5 @@
 	case <-w.wake:
 	case <-timer.C:
 	}
+	return context.Cause(ctx)
 }
--- a/internal/gateway/wait_queue_test.go
+++ b/internal/gateway/wait_queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"testing"
 	"time"
@@ -28,7 +29,7 @@
 func startWait(q *waitQueue, w *waiter) <-chan struct{} {
 	done := make(chan struct{})
 	go func() {
-		q.wait(context.Background(), w, time.Hour)
+		_ = q.wait(context.Background(), w, time.Hour)
 		close(done)
 	}()
 	return done
@@ -61,3 +62,35 @@
 	is.New(t).Equal(c.run(t.Context()).Status, http.StatusOK)
 	awaitWoken(t, done)
 }
+
+// A request whose caller had left kept its place in the wait queue without blocking, until its hold time ended. A few of
+// them used the whole processor share of a host, which then accepted no callers and followed no configuration for
+// seconds (review/1).
+func TestRequestLeavesWaitQueueWhenCallerDisconnects(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		c := testCall(t, "127.0.0.1:1", idempotent)
+		c.g.cfg.Policy = PolicyLeastExpectedTime
+		c.route.Objective = time.Hour
+		q := c.g.queues.get(c.service.Name)
+		q.add(queueKey{priority: -1}) // stays the head
+		ctx, disconnect := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			_, err := c.place(ctx)
+			is.New(t).True(errors.Is(err, context.Canceled))
+			close(done)
+		}()
+		for !isQueued(q, 2) {
+			time.Sleep(time.Millisecond)
+		}
+		disconnect()
+		awaitWoken(t, done)
+		is.New(t).True(isQueued(q, 1))
+	}
+}
+
+func isQueued(q *waitQueue, n int) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.waiters) == n
+}
