Count crashes of a server that returns under its name

Cause: evidence was kept by the server's name, so that all crashes of a server that returns under it were one, and only crashes of two names quarantine a request. The incarnation that the registry knows didn't reach the evidence.

Change: evidence is kept by name and incarnation, which travels with the reports. Two servers, or three crashes of one, quarantine a request. The reference model of TestStatesMatchReferenceModel follows the new rule and now also draws servers that return; without incarnations it is as before.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -95,11 +95,11 @@
 	}
 	req.Header.Set(headerDeadline, strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 0), 10))
 	req.OnSend = func() error { return c.onSend(ctx, res.attempt, target, opts.onSend) }
-	c.h.crashDetector.Tracker().RequestStarted(c.fingerprint, target.Name)
+	c.h.crashDetector.Tracker().RequestStarted(c.fingerprint, quarantine.Target{Name: target.Name})
 	resp, err := c.h.client.Do(ctx, target.Address, req)
 	res.err = err
 	if err != nil {
-		c.h.crashDetector.RequestEnded(c.fingerprint, target.Name, target.Address, err)
+		c.h.crashDetector.RequestEnded(c.fingerprint, quarantine.Target{Name: target.Name}, target.Address, err)
 		if quarantine.IndicatesCrash(err) {
 			c.connectionLost.Store(true)
 		}
@@ -112,14 +112,14 @@
 	c.h.recordDraining(target, resp)
 	rep := slotReport(resp)
 	if c.service.NotRunStatus[resp.Status] {
-		c.h.crashDetector.RequestNotRun(c.fingerprint, target.Name)
+		c.h.crashDetector.RequestNotRun(c.fingerprint, quarantine.Target{Name: target.Name})
 		res.declaredNotRun = true
 		_ = res.attempt.MarkRefused()
 		rep.Outcome = slot.Shed
 		lease.Release(rep)
 		return
 	}
-	c.h.crashDetector.RequestEnded(c.fingerprint, target.Name, target.Address, nil)
+	c.h.crashDetector.RequestEnded(c.fingerprint, quarantine.Target{Name: target.Name}, target.Address, nil)
 	lease.Release(rep)
 	c.h.latency.observe(c.routeKey(), resp.Latency)
 	if target.Region != c.h.settings.Region {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -51,20 +51,20 @@
 	var refused *RefusedError
 	switch {
 	case errors.As(err, &refused):
-		c.g.crashDetector.RequestNotRun(c.fingerprint, s.target.ID)
+		c.g.crashDetector.RequestNotRun(c.fingerprint, s.quarantineTarget())
 		_ = res.attempt.MarkRefused()
 		refused.HadFreeSlots = s.recordRefusal(sent, now)
 		c.recordLoad(s, resp, now)
 	case err != nil && sent == nil:
-		c.g.crashDetector.RequestNotSent(c.fingerprint, s.target.ID, s.target.Address, err)
+		c.g.crashDetector.RequestNotSent(c.fingerprint, s.quarantineTarget(), s.target.Address, err)
 		_ = res.attempt.MarkFailed()
 		c.recordFault(ctx, s, sent, err, now)
 	case err != nil:
-		c.g.crashDetector.RequestEnded(c.fingerprint, s.target.ID, s.target.Address, err)
+		c.g.crashDetector.RequestEnded(c.fingerprint, s.quarantineTarget(), s.target.Address, err)
 		_ = res.attempt.MarkFailed()
 		c.recordFault(ctx, s, sent, err, now)
 	default:
-		c.g.crashDetector.RequestEnded(c.fingerprint, s.target.ID, s.target.Address, nil)
+		c.g.crashDetector.RequestEnded(c.fingerprint, s.quarantineTarget(), s.target.Address, nil)
 		c.recordResponse(s, sent, resp, chosen, now)
 		var won bool
 		if won, err = res.attempt.MarkComplete(); err == nil && !won {
@@ -121,7 +121,7 @@
 		return err
 	}
 	c.sendCount.Add(1)
-	c.g.crashDetector.Tracker().RequestStarted(c.fingerprint, s.target.ID)
+	c.g.crashDetector.Tracker().RequestStarted(c.fingerprint, s.quarantineTarget())
 	return nil
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bilberryline/bilberryline/internal/balance/expect"
+	"github.com/bilberryline/bilberryline/internal/quarantine"
 	"github.com/bilberryline/bilberryline/internal/registry"
 )
 
@@ -60,6 +61,15 @@
 	return &server{target: t, inFlight: make(map[*inFlightRequest]struct{}), down: make(chan struct{})}
 }
 
+// quarantineTarget returns the identity of the server's incarnation for the detection of crashes.
+func (s *server) quarantineTarget() quarantine.Target {
+	t := quarantine.Target{Name: s.target.ID}
+	if !s.target.Started.IsZero() {
+		t.Incarnation = s.target.Started.UnixMilli()
+	}
+	return t
+}
+
 // probeable reports whether the server may be probed now.
 func (s *server) probeable(now time.Time) bool {
 	s.mu.Lock()
--- a/internal/quarantine/await_evidence_test.go
+++ b/internal/quarantine/await_evidence_test.go
@@ -39,8 +39,8 @@
 	var attempts atomic.Int32
 	d.refuses = func(string) bool { return attempts.Add(1) > 1 } // still listening at the first attempt
 	fp := request(1)
-	f.hosts[0].RequestStarted(fp, "t1")
-	d.RequestEnded(fp, "t1", "192.0.2.1:80", errBrokenMidRequest)
+	f.hosts[0].RequestStarted(fp, Target{Name: "t1"})
+	d.RequestEnded(fp, Target{Name: "t1"}, "192.0.2.1:80", errBrokenMidRequest)
 	is.NoErr(d.AwaitEvidence(t.Context(), fp))
 	for _, tracker := range f.hosts {
 		entry, found := tracker.Check(fp)
@@ -64,8 +64,8 @@
 	}
 	crashing, concurrent, uninvolved := request(1), request(2), request(3)
 	for _, fp := range []Fingerprint{crashing, concurrent} {
-		f.hosts[0].RequestStarted(fp, "t1")
-		d.RequestEnded(fp, "t1", "192.0.2.1:80", errBrokenMidRequest)
+		f.hosts[0].RequestStarted(fp, Target{Name: "t1"})
+		d.RequestEnded(fp, Target{Name: "t1"}, "192.0.2.1:80", errBrokenMidRequest)
 	}
 	is.NoErr(d.AwaitEvidence(t.Context(), uninvolved))
 	is.Equal(len(d.pendingChecks(crashing)), 1)
@@ -83,8 +83,8 @@
 	d := NewCrashDetector(f.hosts[0], &background)
 	d.refuses = func(string) bool { return true }
 	fp := request(1)
-	f.hosts[0].RequestStarted(fp, "t1")
-	d.RequestEnded(fp, "t1", "192.0.2.1:80", errBrokenMidRequest)
+	f.hosts[0].RequestStarted(fp, Target{Name: "t1"})
+	d.RequestEnded(fp, Target{Name: "t1"}, "192.0.2.1:80", errBrokenMidRequest)
 	background.Wait()
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
--- a/internal/quarantine/convert.go
+++ b/internal/quarantine/convert.go
@@ -21,7 +21,7 @@
 func reportToProto(crashes []crashReport, clearances []clearance, now time.Time) *quarantinepb.Report {
 	out := &quarantinepb.Report{}
 	for _, c := range crashes {
-		m := &quarantinepb.Crash{Service: c.target.service, Target: c.target.name, Age: int64(now.Sub(c.at))}
+		m := &quarantinepb.Crash{Service: c.target.service, Target: c.target.Name, Incarnation: c.target.Incarnation, Age: int64(now.Sub(c.at))}
 		for _, fp := range c.suspects {
 			m.Suspects = append(m.Suspects, fingerprintToProto(fp))
 		}
@@ -36,7 +36,7 @@
 
 func crashFromProto(m *quarantinepb.Crash, now time.Time) crashReport {
 	r := crashReport{
-		target: targetKey{service: m.Service, name: m.Target},
+		target: targetKey{m.Service, Target{Name: m.Target, Incarnation: m.Incarnation}},
 		at:     now.Add(-time.Duration(m.Age)),
 	}
 	for _, fp := range m.Suspects {
--- a/internal/quarantine/crash_detector.go
+++ b/internal/quarantine/crash_detector.go
@@ -36,17 +36,17 @@
 
 // RequestEnded records how a started request ended at a target. A nil err means that the complete response was
 // read.
-func (d *CrashDetector) RequestEnded(fp Fingerprint, targetName, address string, err error) {
+func (d *CrashDetector) RequestEnded(fp Fingerprint, target Target, address string, err error) {
 	switch {
 	case err == nil:
-		d.tracker.RequestEnded(fp, targetName, true)
+		d.tracker.RequestEnded(fp, target, true)
 	case IndicatesCrash(err):
-		d.tracker.RequestEnded(fp, targetName, false)
-		d.startDownCheck(fp.Service, targetName, address, fp)
+		d.tracker.RequestEnded(fp, target, false)
+		d.startDownCheck(fp.Service, target, address, fp)
 	default:
-		d.tracker.RequestCancelled(fp, targetName)
+		d.tracker.RequestCancelled(fp, target)
 	}
-	d.checkDialFailure(fp, targetName, address, err)
+	d.checkDialFailure(fp, target, address, err)
 }
 
 // IndicatesCrash reports whether err is what a crash of the server causes: the connection broke while the request
@@ -58,22 +58,22 @@
 
 // RequestNotSent records that a request failed before it was started. This is no evidence against the request,
 // but a failed dial may show that the target is down.
-func (d *CrashDetector) RequestNotSent(fp Fingerprint, targetName, address string, err error) {
-	d.checkDialFailure(fp, targetName, address, err)
+func (d *CrashDetector) RequestNotSent(fp Fingerprint, target Target, address string, err error) {
+	d.checkDialFailure(fp, target, address, err)
 }
 
 // checkDialFailure starts a check of the target if err is a failed dial.
-func (d *CrashDetector) checkDialFailure(fp Fingerprint, targetName, address string, err error) {
+func (d *CrashDetector) checkDialFailure(fp Fingerprint, target Target, address string, err error) {
 	var e *backend.ExchangeError
 	if errors.As(err, &e) && e.Fault == backend.FaultDial {
-		d.startDownCheck(fp.Service, targetName, address)
+		d.startDownCheck(fp.Service, target, address)
 	}
 }
 
 // RequestNotRun records that the target declared that it did not run a started request. This is evidence
 // neither for nor against the request.
-func (d *CrashDetector) RequestNotRun(fp Fingerprint, targetName string) {
-	d.tracker.RequestCancelled(fp, targetName)
+func (d *CrashDetector) RequestNotRun(fp Fingerprint, target Target) {
+	d.tracker.RequestCancelled(fp, target)
 }
 
 // CheckQuarantine returns a *RefusedError if the request is quarantined, and nil otherwise.
--- a/internal/quarantine/crash_detector_test.go
+++ b/internal/quarantine/crash_detector_test.go
@@ -17,7 +17,7 @@
 // no other request was in flight at the target.
 func TestEndOfARequestThatWasNotStartedChangesNothing(t *testing.T) {
 	is := is.New(t)
-	key := targetKey{"slots", "t1"}
+	key := targetKey{"slots", Target{Name: "t1"}}
 	fp := NewFingerprint("desk", "slots", "GET", "/", nil)
 	other := NewFingerprint("desk", "slots", "GET", "/other", nil)
 	r := newLocalRequests()
@@ -41,15 +41,15 @@
 	var background sync.WaitGroup
 	d := NewCrashDetector(tracker, &background)
 	fp := NewFingerprint("desk", "slots", "GET", "/", nil)
-	tracker.RequestStarted(fp, "t1")
-	tracker.RequestEnded(fp, "t1", false)
-	tracker.ServerDown("slots", "t1", time.Now())
-	tracker.RequestStarted(fp, "t2")
-	d.RequestNotRun(fp, "t2")
+	tracker.RequestStarted(fp, Target{Name: "t1"})
+	tracker.RequestEnded(fp, Target{Name: "t1"}, false)
+	tracker.ServerDown("slots", Target{Name: "t1"}, time.Now())
+	tracker.RequestStarted(fp, Target{Name: "t2"})
+	d.RequestNotRun(fp, Target{Name: "t2"})
 	_, suspected := tracker.Check(fp)
 	is.True(suspected)
-	tracker.RequestStarted(fp, "t2")
-	d.RequestEnded(fp, "t2", "", nil)
+	tracker.RequestStarted(fp, Target{Name: "t2"})
+	d.RequestEnded(fp, Target{Name: "t2"}, "", nil)
 	_, suspected = tracker.Check(fp)
 	is.True(!suspected)
 }
--- a/internal/quarantine/down_check.go
+++ b/internal/quarantine/down_check.go
@@ -26,7 +26,7 @@
 
 // startDownCheck checks in the background whether the target refuses connections. The requests are those whose
 // connections to it broke. They join a check of the same address that is already running.
-func (d *CrashDetector) startDownCheck(service, targetName, address string, requests ...Fingerprint) {
+func (d *CrashDetector) startDownCheck(service string, target Target, address string, requests ...Fingerprint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if running := d.checks[address]; running != nil {
@@ -40,7 +40,7 @@
 		for _, pause := range downCheckDelays {
 			time.Sleep(pause)
 			if d.refuses(address) {
-				d.tracker.ServerDown(service, targetName, d.tracker.cfg.Clock.Now())
+				d.tracker.ServerDown(service, target, d.tracker.cfg.Clock.Now())
 				return
 			}
 		}
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -9,7 +9,8 @@
 const (
 	// Suspected requests were in flight when a server went down.
 	Suspected State = iota + 1
-	// Quarantined requests were in flight when two or more servers went down. They are refused.
+	// Quarantined requests were in flight when two different servers went down, or one server repeatedly. They are
+	// refused.
 	Quarantined
 )
 
@@ -18,7 +19,7 @@
 	State State
 	// Score is the sum, over the crashes, of one divided by the number of suspects of the crash.
 	Score float64
-	// Targets holds the names of the targets that went down with the request in flight, sorted.
+	// Targets holds the names of the servers that went down with the request in flight, sorted.
 	Targets []string
 	// ExpiresAt is when the entry expires.
 	ExpiresAt time.Time
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -8,11 +8,28 @@
 // candidate is a request that was in flight at one or more crashes.
 type candidate struct {
 	fp      Fingerprint
-	crashes []*crash // earliest crash of each target, oldest first
+	crashes []*crash // oldest first
 }
 
-// secondCrash returns the time of the crash that made the request eligible for quarantine.
-func (c candidate) secondCrash() time.Time { return c.crashes[1].at }
+const (
+	// minCrashedServers is the number of different servers that a request must have crashed to be quarantined.
+	minCrashedServers = 2
+	// minCrashesOfOneServer is the number of crashes of a single server that have the same effect. It is larger, because
+	// a server may crash repeatedly by itself.
+	minCrashesOfOneServer = 3
+)
+
+// eligibleAt returns the time of the crash that made the request eligible for quarantine, or false if there is none.
+func (c candidate) eligibleAt() (time.Time, bool) {
+	servers := map[string]bool{}
+	for i, crash := range c.crashes {
+		servers[crash.target.Name] = true
+		if len(servers) >= minCrashedServers || i+1 >= minCrashesOfOneServer {
+			return crash.at, true
+		}
+	}
+	return time.Time{}, false
+}
 
 // evaluate derives all entries from the crashes.
 func (t *evidenceTable) evaluate() {
@@ -21,7 +38,7 @@
 	eligible := map[string][]candidate{}
 	for _, c := range t.candidates() {
 		t.entries[c.fp] = t.newEntry(c, Suspected)
-		if len(c.crashes) >= 2 && t.score(c) >= t.limits.MinScore {
+		if _, ok := c.eligibleAt(); ok && t.score(c) >= t.limits.MinScore {
 			eligible[c.fp.Service] = append(eligible[c.fp.Service], c)
 		}
 	}
@@ -46,22 +63,12 @@
 	}
 	list := make([]candidate, 0, len(byFingerprint))
 	for fp, crashes := range byFingerprint {
-		list = append(list, candidate{fp: fp, crashes: firstCrashPerTarget(crashes)})
+		slices.SortFunc(crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
+		list = append(list, candidate{fp: fp, crashes: crashes})
 	}
 	return list
 }
 
-// firstCrashPerTarget returns the earliest crash of each target, oldest first. It modifies the slice.
-func firstCrashPerTarget(crashes []*crash) []*crash {
-	slices.SortFunc(crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
-	seen := map[targetKey]bool{}
-	return slices.DeleteFunc(crashes, func(c *crash) bool {
-		duplicate := seen[c.target]
-		seen[c.target] = true
-		return duplicate
-	})
-}
-
 func (t *evidenceTable) score(c candidate) float64 {
 	sum := 0.0
 	for _, crash := range c.crashes {
@@ -73,29 +80,31 @@
 func (t *evidenceTable) newEntry(c candidate, state State) Entry {
 	e := Entry{State: state, Score: t.score(c)}
 	for _, crash := range c.crashes {
-		e.Targets = append(e.Targets, crash.target.name)
+		e.Targets = append(e.Targets, crash.target.Name)
 		if expiresAt := crash.at.Add(t.limits.Retention); expiresAt.After(e.ExpiresAt) {
 			e.ExpiresAt = expiresAt
 		}
 	}
 	slices.Sort(e.Targets)
+	e.Targets = slices.Compact(e.Targets)
 	return e
 }
 
-// isMassCrash reports whether the crashes around the candidate's second crash look like a fault of the whole
+// isMassCrash reports whether the crashes around the one that made the candidate eligible look like a fault of the whole
 // service. This is so if more than Limits.MaxCandidates requests would be quarantined for them, or if more
 // servers went down with no candidate in flight than with this one.
 func (t *evidenceTable) isMassCrash(service string, c candidate, list []candidate) bool {
+	at, _ := c.eligibleAt()
 	simultaneous := 0
 	for _, other := range list {
-		if within(other.secondCrash(), c.secondCrash(), t.limits.CorrelationWindow) {
+		if otherAt, _ := other.eligibleAt(); within(otherAt, at, t.limits.CorrelationWindow) {
 			simultaneous++
 		}
 	}
 	if simultaneous > t.limits.MaxCandidates {
 		return true
 	}
-	return t.countUnexplained(service, c.secondCrash(), list) > len(c.crashes)
+	return t.countUnexplained(service, at, list) > len(c.crashes)
 }
 
 // countUnexplained returns the number of crashes of the service around the given time at which no candidate
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -78,20 +78,20 @@
 }
 
 // RequestStarted records that a request is about to be sent to a target.
-func (t *Tracker) RequestStarted(fp Fingerprint, targetName string) {
+func (t *Tracker) RequestStarted(fp Fingerprint, target Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.requests.start(targetKey{fp.Service, targetName}, fp)
+	t.requests.start(targetKey{fp.Service, target}, fp)
 }
 
 // RequestEnded records that a started request ended. If ok is set, the complete response was read; otherwise the
 // connection broke while the request was in flight. Requests that this host cancelled are recorded with
 // RequestCancelled instead.
-func (t *Tracker) RequestEnded(fp Fingerprint, targetName string, ok bool) {
+func (t *Tracker) RequestEnded(fp Fingerprint, target Target, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.cfg.Clock.Now()
-	key := targetKey{fp.Service, targetName}
+	key := targetKey{fp.Service, target}
 	t.requests.end(key, fp)
 	if !ok {
 		t.requests.recordBroken(key, fp, now, t.cfg.Limits.MaxSuspects)
@@ -108,19 +108,19 @@
 
 // RequestCancelled records that this host gave up a started request while its connection was intact. This is
 // evidence neither for nor against the request.
-func (t *Tracker) RequestCancelled(fp Fingerprint, targetName string) {
+func (t *Tracker) RequestCancelled(fp Fingerprint, target Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.requests.end(targetKey{fp.Service, targetName}, fp)
+	t.requests.end(targetKey{fp.Service, target}, fp)
 }
 
 // ServerDown records that a target went down: it refuses connections, or all connections to it broke. It may
 // be called repeatedly for the same outage. If neither this host nor another one had a request in flight at
 // the target, no evidence results.
-func (t *Tracker) ServerDown(service, targetName string, now time.Time) {
+func (t *Tracker) ServerDown(service string, target Target, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	key := targetKey{service, targetName}
+	key := targetKey{service, target}
 	suspects := t.localSuspectsLocked(key, now)
 	if len(suspects) == 0 && !t.markIdleDownLocked(key, now) {
 		return
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -116,28 +116,27 @@
 	}
 }
 
-// targets returns the targets at whose crashes the request was in flight, the time of the second of these
-// crashes, and the score.
-func (m *referenceModel) targets(r int) (names map[string]bool, secondCrash time.Time, score float64) {
-	names = map[string]bool{}
+// history returns the number of crashes that the request was in flight at, the time of the crash that made it eligible
+// for quarantine (two servers, or three crashes of one), or the zero time, and the score.
+func (m *referenceModel) history(r int) (crashes int, eligibleAt time.Time, score float64) {
+	names := map[string]bool{}
 	for _, c := range m.crashes {
 		if !c.inFlight[r] {
 			continue
 		}
-		if !names[c.target] {
-			score += 1 / float64(len(c.inFlight))
-			names[c.target] = true
-			if len(names) == 2 {
-				secondCrash = c.at
-			}
+		crashes++
+		names[c.target] = true
+		score += 1 / float64(len(c.inFlight))
+		if eligibleAt.IsZero() && (len(names) == 2 || crashes == 3) {
+			eligibleAt = c.at
 		}
 	}
-	return names, secondCrash, score
+	return crashes, eligibleAt, score
 }
 
 func (m *referenceModel) state(r, requests int) State {
-	names, secondCrash, _ := m.targets(r)
-	if len(names) == 0 {
+	crashes, eligibleAt, _ := m.history(r)
+	if crashes == 0 {
 		return 0
 	}
 	if !m.eligible(r) {
@@ -145,8 +144,8 @@
 	}
 	candidates, unexplained := 0, 0
 	for o := range requests {
-		_, at, _ := m.targets(o)
-		if m.eligible(o) && at.Sub(secondCrash).Abs() <= defaultCorrelationWindow {
+		_, at, _ := m.history(o)
+		if m.eligible(o) && at.Sub(eligibleAt).Abs() <= defaultCorrelationWindow {
 			candidates++
 		}
 	}
@@ -155,11 +154,11 @@
 		for o := range c.inFlight {
 			explained = explained || m.eligible(o)
 		}
-		if !explained && c.at.Sub(secondCrash).Abs() <= defaultCorrelationWindow {
+		if !explained && c.at.Sub(eligibleAt).Abs() <= defaultCorrelationWindow {
 			unexplained++
 		}
 	}
-	if candidates > defaultMaxCandidates || unexplained > len(names) {
+	if candidates > defaultMaxCandidates || unexplained > crashes {
 		return Suspected
 	}
 	return Quarantined
@@ -167,8 +166,8 @@
 
 // eligible reports whether the request would be quarantined if there were no mass crash.
 func (m *referenceModel) eligible(r int) bool {
-	names, _, score := m.targets(r)
-	return len(names) >= 2 && score >= defaultMinScore
+	_, eligibleAt, score := m.history(r)
+	return !eligibleAt.IsZero() && score >= defaultMinScore
 }
 
 // TestStatesMatchReferenceModel runs requests and crashes through several hosts and compares the state of each
@@ -182,12 +181,16 @@
 		type run struct {
 			host    *Tracker
 			request int
-			target  string
+			target  Target
 		}
+		// Without incarnations, crashes of one server within the correlation window are one crash.
+		incarnations := rapid.Bool().Draw(t, "incarnations are known")
+		incarnation := map[string]int64{}
 		var runs []run
 		down := map[string]time.Time{}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			target := "t" + strconv.Itoa(rapid.IntRange(0, targets-1).Draw(t, "target"))
+			name := "t" + strconv.Itoa(rapid.IntRange(0, targets-1).Draw(t, "target"))
+			target := Target{Name: name, Incarnation: incarnation[name]}
 			r := rapid.IntRange(0, requests-1).Draw(t, "request")
 			host := f.hosts[rapid.IntRange(0, len(f.hosts)-1).Draw(t, "host")]
 			switch rapid.SampledFrom([]string{"start", "start", "start", "finish", "crash", "crash", "wait"}).Draw(t, "step") {
@@ -206,7 +209,7 @@
 				m.answered[hostRequest{done.host, done.request}] = f.clock.Now()
 			case "crash":
 				f.clock.Advance(time.Second)
-				crash := &referenceCrash{target: target, at: f.clock.Now(), inFlight: map[int]bool{}}
+				crash := &referenceCrash{target: name, at: f.clock.Now(), inFlight: map[int]bool{}}
 				var left []run
 				for _, run := range runs {
 					if run.target != target {
@@ -226,10 +229,13 @@
 				f.flush()
 				f.clock.Advance(rapid.SampledFrom([]time.Duration{time.Second, 3 * time.Second}).Draw(t, "pause"))
 				// The model doesn't merge crashes of one target within the correlation window.
-				if last, ok := down[target]; ok && crash.at.Sub(last) <= defaultCorrelationWindow {
+				if last, ok := down[name]; ok && !incarnations && crash.at.Sub(last) <= defaultCorrelationWindow {
 					t.Skip("same target twice")
 				}
-				down[target] = crash.at
+				down[name] = crash.at
+				if incarnations {
+					incarnation[name] = crash.at.UnixMilli()
+				}
 			case "wait":
 				f.clock.Advance(4 * time.Second)
 			}
@@ -252,23 +258,72 @@
 func (f *fleet) crashWith(target string, requests ...int) {
 	h := f.hosts[0]
 	for _, r := range requests {
-		h.RequestStarted(request(r), target)
+		h.RequestStarted(request(r), Target{Name: target})
 	}
 	for _, r := range requests {
-		h.RequestEnded(request(r), target, false)
+		h.RequestEnded(request(r), Target{Name: target}, false)
 	}
-	h.ServerDown("catalogue", target, f.clock.Now())
+	h.ServerDown("catalogue", Target{Name: target}, f.clock.Now())
 	f.flush()
 	f.clock.Advance(time.Second)
 }
 
+// A server that crashes returns under its name. Its crashes counted as one, so that a request that crashes it each time
+// was never quarantined where the service has no second server (review/3).
+func TestRequestThatCrashesOneServerRepeatedlyIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	for crash := range minCrashesOfOneServer {
+		host := f.hosts[crash%len(f.hosts)]
+		e, _ := host.Check(request(1))
+		is.True(e.State != Quarantined)
+		target := Target{Name: "t0", Incarnation: f.clock.Now().UnixMilli()}
+		host.RequestStarted(request(1), target)
+		host.RequestStarted(request(2+crash), target) // another request each time
+		for _, r := range []int{1, 2 + crash} {
+			host.RequestEnded(request(r), target, false)
+		}
+		host.ServerDown("catalogue", target, f.clock.Now())
+		f.flush()
+		f.clock.Advance(defaultCorrelationWindow / 2) // the server is back before the window has ended
+	}
+	for _, h := range f.hosts {
+		e, _ := h.Check(request(1))
+		is.Equal(e.State, Quarantined)
+		is.Equal(e.Targets, []string{"t0"})
+		other, _ := h.Check(request(2))
+		is.Equal(other.State, Suspected)
+	}
+}
+
+// Reports of several hosts on the crash of one incarnation are one crash.
+func TestReportsOnOneIncarnationAreOneCrash(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	target := Target{Name: "t0", Incarnation: 7}
+	for _, h := range f.hosts {
+		h.RequestStarted(request(1), target)
+		h.RequestEnded(request(1), target, false)
+	}
+	for _, h := range f.hosts {
+		h.ServerDown("catalogue", target, f.clock.Now())
+		f.flush()
+		f.clock.Advance(time.Second)
+	}
+	for _, h := range f.hosts {
+		e, _ := h.Check(request(1))
+		is.Equal(e.State, Suspected)
+		is.Equal(h.Stats().Crashes, 1)
+	}
+}
+
 // A request that was in flight at a crash together with its cause is cleared once it completes elsewhere.
 func TestRequestThatCompletesElsewhereIsCleared(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(3)
 	f.crashWith("t0", 1, 2)
-	f.hosts[1].RequestStarted(request(2), "t1")
-	f.hosts[1].RequestEnded(request(2), "t1", true)
+	f.hosts[1].RequestStarted(request(2), Target{Name: "t1"})
+	f.hosts[1].RequestEnded(request(2), Target{Name: "t1"}, true)
 	f.flush()
 	f.crashWith("t1", 1)
 	for _, h := range f.hosts {
@@ -354,14 +409,14 @@
 	f := newFleet(3)
 	popular := request(7)
 	for _, h := range f.hosts {
-		h.RequestStarted(popular, "healthy")
-		h.RequestEnded(popular, "healthy", true)
+		h.RequestStarted(popular, Target{Name: "healthy"})
+		h.RequestEnded(popular, Target{Name: "healthy"}, true)
 	}
 	for i, server := range []string{"a", "b"} {
 		f.clock.Advance(time.Second)
-		f.hosts[i].RequestStarted(popular, server)
-		f.hosts[i].RequestEnded(popular, server, false)
-		f.hosts[i].ServerDown("catalogue", server, f.clock.Now())
+		f.hosts[i].RequestStarted(popular, Target{Name: server})
+		f.hosts[i].RequestEnded(popular, Target{Name: server}, false)
+		f.hosts[i].ServerDown("catalogue", Target{Name: server}, f.clock.Now())
 		f.flush()
 	}
 	for _, h := range f.hosts {
