Skip responses without a request id of servers that repeat ids

Operators of similar systems report that a faulty server wrote an earlier refusal again on a kept connection, so that callers were told not-run for requests that ran.

Cause: a response without a request id was taken for the answer to any request. Copies with the earlier id were skipped already.

Change: once a server has repeated an id, its responses without one are skipped.

Measured: TestRepeatedRefusalIsNotTakenForTheNextRequests fails before for copies without an id and passes after.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -32,7 +32,7 @@
 		Body:                 c.req.Body,
 		RequireFreshConn:     !c.route.Idempotent,
 		AcceptCloseDelimited: true,
-		MatchResponse:        c.matchesRequest,
+		MatchResponse:        func(h http.Header) bool { return c.matchesRequest(h, s) },
 		OnSend: func() error {
 			if err := c.beforeSend(callerCtx, res.attempt, s); err != nil {
 				return err
@@ -97,11 +97,11 @@
 	return h
 }
 
-// matchesRequest reports whether a response with the given header belongs to this request rather than to an
-// earlier one on the same connection.
-func (c *call) matchesRequest(h http.Header) bool {
+// matchesRequest reports whether a response of the server with the given header belongs to this request rather than to
+// an earlier one on the same connection.
+func (c *call) matchesRequest(h http.Header, s *server) bool {
 	id := h.Get(c.g.cfg.Headers.RequestID)
-	return id == "" || id == c.id
+	return s.plausibleID(id) && (id == "" || id == c.id)
 }
 
 // beforeSend runs the last checks before the first byte of an attempt is written and marks the attempt as sent.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -47,6 +47,7 @@
 	down            chan struct{} // closed when failures reaches downAfterFailures
 	unhealthy       bool          // its health check says that it accepts no work
 	replaced        bool          // another incarnation has its address
+	echoesIDs       bool          // its responses repeat the ids of requests
 	probe           *probe        // probe in flight, or nil
 	probeBucket     tokenBucket   // limits the probe rate
 }
@@ -198,6 +199,16 @@
 	s.mu.Unlock()
 }
 
+// plausibleID reports whether the server sends responses with the given request id, which is empty for none. A server that
+// repeats the ids of requests leaves none out, so that a response without one may belong to an earlier request on the
+// connection.
+func (s *server) plausibleID(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.echoesIDs = s.echoesIDs || id != ""
+	return id != "" || !s.echoesIDs
+}
+
 // setReport stores a load report.
 func (s *server) setReport(rep expect.Report, now time.Time) {
 	s.mu.Lock()
