Read bodies without the parser, and chunks of any size

Callers saw: 400 for a body of more than 16 KiB sent as one chunk.

Cause: the allowance for the chunked coding counted the data of a chunk until the parser handed it over, which it does only when the chunk is complete. Bodies that were being read were also held uncounted in the parser and then copied.

Change: the parser sees heads only. A body reader decodes the chunked coding, counts only its framing as overhead, refuses a chunk that exceeds the body limit at its size line, and reserves its buffer before it grows.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -29,10 +28,9 @@
 	pipelineSlots chan struct{}
 
 	// The following fields describe the current message. Only the read loop uses them.
-	validator     headValidator
-	bodyRemaining int // bytes left to read of a body with Content-Length
-	bodyBytes     int // bytes of the decoded body read so far
-	chunkedBytes  int // bytes of a chunked body read so far, as on the wire
+	validator headValidator
+	processor *processor
+	body      *bodyReader // nil unless a body is being read
 
 	mu             sync.Mutex
 	headerBytes    int              // bytes read of the header of the current message
@@ -48,10 +46,16 @@
 func newConn(s *Server, raw net.Conn, remote netip.AddrPort) *conn {
 	c := &conn{server: s, raw: raw, remote: remote, inHeader: true, pipelineSlots: make(chan struct{}, maxPipelined)}
 	c.ctx, c.cancel = context.WithCancel(s.ctx)
-	c.parser = nbhttp.NewParser(raw, s.engine, &processor{conn: c}, false, nil)
+	c.processor = &processor{conn: c}
+	c.resetParser()
 	return c
 }
 
+// resetParser prepares the parser for the head of the next message.
+func (c *conn) resetParser() {
+	c.parser = nbhttp.NewParser(c.raw, c.server.engine, c.processor, false, nil)
+}
+
 // readLoop reads until the connection is closed or accepts no further message.
 func (c *conn) readLoop() {
 	defer c.cleanUp()
@@ -78,16 +82,17 @@
 	}
 }
 
-// onData passes data to the parser and reports whether the read loop should continue. It passes the head of each
-// message, its body and the next message separately, so that each head is validated before it is parsed.
+// onData processes received data and reports whether the read loop should continue. Heads are validated and passed to
+// the parser, one at a time. The parser would hold back each chunk, and each body with Content-Length, until it is
+// complete, so bodies are read without it.
 func (c *conn) onData(data []byte) bool {
 	for len(data) > 0 {
-		n, refusal := c.nextPartLen(data)
-		if refusal != nil {
-			c.refuse(refusal)
-			return false
+		read := c.onHeadData
+		if c.body != nil {
+			read = c.onBodyData
 		}
-		if !c.feed(data[:n]) {
+		n, ok := read(data)
+		if !ok {
 			return false
 		}
 		data = data[n:]
@@ -95,33 +100,30 @@
 	return true
 }
 
-// nextPartLen returns how many bytes of data belong to the current part of the message: its head, its body with
-// Content-Length, or one line of its chunked body.
-func (c *conn) nextPartLen(data []byte) (int, *RefusedError) {
-	c.mu.Lock()
-	inHeader := c.inHeader
-	c.mu.Unlock()
-	if inHeader {
-		n, valid := c.validator.scan(data)
-		if !valid {
-			return 0, &RefusedError{Status: http.StatusBadRequest, Reason: ReasonSyntax}
-		}
-		return n, nil
+// onHeadData processes data up to the end of a message's head.
+func (c *conn) onHeadData(data []byte) (n int, ok bool) {
+	n, valid := c.validator.scan(data)
+	if !valid {
+		c.refuse(&RefusedError{Status: http.StatusBadRequest, Reason: ReasonSyntax})
+		return n, false
 	}
-	if c.bodyRemaining > 0 {
-		n := min(len(data), c.bodyRemaining)
-		c.bodyRemaining -= n
-		return n, nil
-	}
-	n := bytes.IndexByte(data, '\n') + 1
-	if n == 0 {
-		n = len(data)
+	return n, c.feed(data[:n])
+}
+
+// onBodyData processes data up to the end of a message's body.
+func (c *conn) onBodyData(data []byte) (n int, ok bool) {
+	n, done, refusal := c.body.read(data)
+	if refusal != nil {
+		c.refuse(refusal)
+		return n, false
 	}
-	c.chunkedBytes += n
-	if c.chunkedBytes > maxChunkOverhead+chunkOverheadPerByte*c.bodyBytes {
-		return 0, &RefusedError{Status: http.StatusBadRequest, Reason: ReasonChunkOverhead}
+	if done {
+		c.processor.currentRequest().Body = c.body.data
+		c.body = nil
+		c.resetParser()
+		c.processor.OnComplete(c.parser)
 	}
-	return n, nil
+	return n, c.acceptsMessages()
 }
 
 // feed passes data to the parser and reports whether further messages are accepted.
@@ -130,30 +132,25 @@
 		return false
 	}
 	if err := c.parser.Parse(data); err != nil {
-		c.refuse(c.parseRefusal(err))
+		c.refuse(parseRefusal(err))
 		return false
 	}
+	return c.acceptsMessages()
+}
+
+// acceptsMessages reports whether further messages are accepted.
+func (c *conn) acceptsMessages() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return !c.noMoreRequests
 }
 
 // parseRefusal converts an error of the parser to the refusal to send to the caller.
-func (c *conn) parseRefusal(err error) *RefusedError {
-	var refusal *RefusedError
-	if errors.As(err, &refusal) {
-		return refusal
-	}
-	if !errors.Is(err, nbhttp.ErrTooLong) {
-		return &RefusedError{Status: http.StatusBadRequest, Reason: ReasonSyntax}
-	}
-	c.mu.Lock()
-	inHeader := c.inHeader
-	c.mu.Unlock()
-	if inHeader {
+func parseRefusal(err error) *RefusedError {
+	if errors.Is(err, nbhttp.ErrTooLong) {
 		return &RefusedError{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: ReasonHeaderTooLarge}
 	}
-	return &RefusedError{Status: http.StatusRequestEntityTooLarge, Reason: ReasonBodyTooLarge}
+	return &RefusedError{Status: http.StatusBadRequest, Reason: ReasonSyntax}
 }
 
 // countHeaderBytes adds n bytes to the header size if the header is incomplete. It refuses the message and returns
@@ -179,17 +176,19 @@
 
 // onHeaderComplete is called when the header of the current message is complete. length is the Content-Length, zero
 // or negative if the message has no body or a chunked one.
-func (c *conn) onHeaderComplete(length int) {
+func (c *conn) onHeaderComplete(length int, chunked bool) {
 	c.validator = headValidator{}
-	c.bodyRemaining = max(length, 0)
-	c.bodyBytes, c.chunkedBytes = 0, 0
+	if length > 0 || chunked {
+		c.body = newBodyReader(max(length, 0), chunked, c.server.limits.Load().MaxBodyBytes, c.bufferBody)
+	}
 	c.mu.Lock()
 	c.inHeader = false
 	c.headerBytes = 0
 	c.mu.Unlock()
 }
 
-// bufferBody counts n body bytes against the server's limit and reports whether they fit.
+// bufferBody counts n bytes of a body against the server's limit and reports whether they fit. A negative n releases
+// bytes.
 func (c *conn) bufferBody(n int) bool {
 	if !c.server.addBuffered(int64(n)) {
 		return false
--- a/internal/front/processor.go
+++ b/internal/front/processor.go
@@ -14,7 +14,7 @@
 	headerTransferEncoding = "Transfer-Encoding"
 )
 
-// processor receives the parts of each message from nbhttp's parser and builds a Request from them. If a message
+// processor receives the parts of each message's head from nbhttp's parser and builds a Request from them. If a message
 // has several Content-Length fields, nbhttp uses the first; if it has Content-Length and Transfer-Encoding, nbhttp
 // ignores the length. The processor sees each field line and refuses such messages. All methods are called from the
 // goroutine of the parser.
@@ -111,7 +111,7 @@
 		p.conn.refuse(p.refusal)
 		return
 	}
-	p.conn.onHeaderComplete(length)
+	p.conn.onHeaderComplete(length, p.transferEncodings > 0)
 	if p.expectContinue {
 		p.conn.writeContinue()
 	}
@@ -136,28 +136,10 @@
 	}
 }
 
-// OnBody implements nbhttp.Processor.
-func (p *processor) OnBody(_ *nbhttp.Parser, data []byte) error {
-	req := p.currentRequest()
-	if len(req.Body)+len(data) > p.conn.server.limits.Load().MaxBodyBytes {
-		return p.abort(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge)
-	}
-	if !p.conn.bufferBody(len(data)) {
-		return p.abort(http.StatusServiceUnavailable, ReasonBodyBufferFull)
-	}
-	p.conn.bodyBytes += len(data)
-	req.Body = append(req.Body, data...)
-	return nil
-}
-
-// abort refuses a message while its body is being read. The returned error stops the parser.
-func (p *processor) abort(status int, reason Reason) error {
-	refusal := &RefusedError{Status: status, Reason: reason}
-	p.conn.refuse(refusal)
-	return refusal
-}
+// OnBody implements nbhttp.Processor. It is not called, as the parser sees no bodies.
+func (p *processor) OnBody(*nbhttp.Parser, []byte) error { return nil }
 
-// OnTrailerHeader implements nbhttp.Processor. It discards trailer fields.
+// OnTrailerHeader implements nbhttp.Processor. It is not called, as the parser sees no bodies.
 func (p *processor) OnTrailerHeader(*nbhttp.Parser, string, string) {}
 
 // OnComplete implements nbhttp.Processor. It dispatches the request and prepares for the next message.
