Count the memory of large bodies until they are written

Callers would have seen: the end of the process when its memory limit is passed.

Cause: bytes of answers counted once and were held up to four times: receive buffer (kept by idle connections), body, encoded response, unsent rest.

Change: unread bytes are bounded by waiting for the reader, the body's buffer counts before it grows and until the response is written, large bodies are written without a copy, idle connections drop large buffers.

--- a/internal/backend/buffer_budget.go
+++ b/internal/backend/buffer_budget.go
@@ -2,29 +2,30 @@
 
 import "sync/atomic"
 
-// uncountedBytes is the size up to which a response doesn't count against the budget, so that large responses can't keep
+// uncountedBytes is the size up to which a buffer doesn't count against the budget, so that large responses can't keep
 // out small ones.
 const uncountedBytes = 64 << 10
 
-// bufferBudget limits the bytes of all responses that are being read. It is safe for concurrent use.
+// bufferBudget limits the memory for all responses that are being read or written. It is safe for concurrent use.
 type bufferBudget struct {
 	limit int64
 	used  atomic.Int64
 }
 
-// take counts n more bytes of a response that has total bytes with them, and reports whether the budget permits them.
-// It returns the number of bytes to release later.
-func (b *bufferBudget) take(n, total int) (counted int, ok bool) {
-	counted = min(n, total-uncountedBytes)
-	if counted <= 0 {
-		return 0, true
-	}
-	if b.used.Add(int64(counted)) > b.limit {
-		b.used.Add(-int64(counted))
-		return 0, false
-	}
-	return counted, true
+// charge is what one buffer counts against a budget. It is not safe for concurrent use.
+type charge struct {
+	budget  *bufferBudget
+	counted int
 }
 
-// release returns counted bytes to the budget.
-func (b *bufferBudget) release(counted int) { b.used.Add(-int64(counted)) }
+// set changes the size of the buffer. It reports whether the budget permits it; a smaller size is always permitted.
+func (c *charge) set(size int) bool {
+	counted := max(size-uncountedBytes, 0)
+	n := int64(counted - c.counted)
+	if c.budget.used.Add(n) > c.budget.limit && n > 0 {
+		c.budget.used.Add(-n)
+		return false
+	}
+	c.counted = counted
+	return true
+}
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -83,6 +83,14 @@
 	return errors.As(err, &e) && (e.Fault == FaultTimeout || e.Fault == FaultConnectionBroken || e.Fault == FaultStalled)
 }
 
+// Hold counts the body of a response that is held after Do has returned it, or no longer held if bytes is negative. New
+// responses get less memory for so long.
+func (c *Client) Hold(bytes int) {
+	if counted := max(bytes-uncountedBytes, 0) - max(-bytes-uncountedBytes, 0); counted != 0 {
+		c.budget.used.Add(int64(counted))
+	}
+}
+
 // SetLimit sets the maximum number of open connections to address. Zero means no limit.
 func (c *Client) SetLimit(address string, limit int) { c.poolFor(address).setLimit(limit) }
 
--- a/internal/backend/config.go
+++ b/internal/backend/config.go
@@ -8,8 +8,8 @@
 	MaxResponseBytes int
 	// MaxHeaderBytes limits the header of one response, together with interim responses (1xx), in bytes. Default 64 KiB.
 	MaxHeaderBytes int
-	// MaxBufferedBytes limits the responses that are being read from all backend servers together, in bytes. Responses
-	// of up to 64 KiB don't count. Default 512 MiB.
+	// MaxBufferedBytes limits the memory for the responses that are being read from all backend servers or are held
+	// (Client.Hold), in bytes. Responses of up to 64 KiB don't count. Default 512 MiB.
 	MaxBufferedBytes int64
 	// DialTimeout limits the time to open a connection. Default 1 s.
 	DialTimeout time.Duration
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -99,10 +99,12 @@
 	start := time.Now()
 	c.earlyResponse.Store(false)
 	c.writingBody.Store(len(req.Body) > 0)
+	c.received.setUnbounded(len(req.Body) > 0) // the server may answer before it reads the body
 	_ = c.raw.SetWriteDeadline(writeDeadline(ctx))
-	if _, err := c.raw.Write(data); err != nil {
+	if _, err := data.WriteTo(c.raw); err != nil {
 		return nil, false, c.classifyError(ctx, errors.Join(ErrConnectionLost, err))
 	}
+	c.received.setUnbounded(false)
 	// If a response arrives before the request body is written completely, the backend server may interpret the rest of
 	// the body as the next request.
 	early := c.writingBody.Swap(false) && c.earlyResponse.Load()
@@ -185,43 +187,22 @@
 		if !req.AcceptCloseDelimited {
 			return nil, false, ErrNoLength
 		}
-		body, err = io.ReadAll(resp.Body)
+		body, err = c.readAll(resp)
 		if errors.Is(err, ErrConnectionEnded) {
 			err = nil
 		}
 		return body, true, err
 	}
-	if resp.ContentLength < 0 {
-		body, err = io.ReadAll(resp.Body)
-		return body, false, err
-	}
-	body = make([]byte, 0, min(resp.ContentLength, maxPreallocatedBytes))
-	body, err = readFull(body, resp.Body, resp.ContentLength)
+	body, err = c.readAll(resp)
 	return body, false, err
 }
 
-// maxPreallocatedBytes limits the memory allocated for the declared length of a body before the body arrives.
-const maxPreallocatedBytes = 1 << 20
-
-// readFull reads from r until body has the given length. It returns io.ErrUnexpectedEOF if r ends before.
-func readFull(body []byte, r io.Reader, length int64) ([]byte, error) {
-	for int64(len(body)) < length {
-		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
-		}
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if int64(len(body)) == length {
-			return body, nil
-		}
-		if errors.Is(err, io.EOF) {
-			return nil, io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-	return body, nil
+// readAll reads the body of resp to its end, which must be at its Content-Length if it has one.
+func (c *conn) readAll(resp *http.Response) ([]byte, error) {
+	b := bodyBuffer{charge: charge{budget: &c.pool.client.budget}, length: resp.ContentLength}
+	defer b.charge.set(0)
+	err := b.readFrom(resp.Body)
+	return b.data, err
 }
 
 // classifyError returns the ExchangeError for an error that occurred after the first byte may have been sent.
--- a/internal/backend/encode.go
+++ b/internal/backend/encode.go
@@ -4,15 +4,17 @@
 	"bytes"
 	"net/http"
 	"strconv"
+
+	"github.com/bilberryline/bilberryline/internal/httpwire"
 )
 
 // headSizeHint is the number of bytes allocated for the request line and the header.
 const headSizeHint = 1 << 10
 
 // encode returns req as an HTTP/1.1 message.
-func encode(req *Request) []byte {
+func encode(req *Request) httpwire.Buffers {
 	var b bytes.Buffer
-	b.Grow(len(req.Body) + headSizeHint)
+	b.Grow(headSizeHint)
 	b.WriteString(req.Method)
 	b.WriteByte(' ')
 	b.WriteString(req.URI)
@@ -24,8 +26,7 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(req.Body)
-	return b.Bytes()
+	return httpwire.Message(b.Bytes(), req.Body)
 }
 
 // generatedHeaders lists the header fields that encode sets itself.
--- a/internal/backend/receive_buffer.go
+++ b/internal/backend/receive_buffer.go
@@ -6,31 +6,40 @@
 	"time"
 )
 
+// maxUnreadBytes is the number of received bytes that wait for the reader. The backend server is slowed down then.
+const maxUnreadBytes = uncountedBytes
+
+// maxIdleBufferBytes is the largest buffer that is kept for the next response on the connection.
+const maxIdleBufferBytes = 16 << 10
+
 // receiveBuffer passes bytes from the read loop of a connection to its single reader. No other lock is acquired while
 // mu is held.
 type receiveBuffer struct {
 	limit   int           // maximum number of bytes between two resets
-	budget  *bufferBudget // shared by all connections
 	changed chan struct{} // has one element if the state may have changed since the last wait
 
 	mu           sync.Mutex
+	drained      *sync.Cond // signalled when push may go on
 	buf          bytes.Buffer
-	total        int // bytes received since the last reset
-	counted      int // bytes of them that count against the budget
-	headLeft     int // bytes that Read may still return before ErrHeaderTooLarge; negative for no limit
+	charge       charge // for buf
+	unbounded    bool   // the reader doesn't read now, so that push must not wait for it
+	total        int    // bytes received since the last reset
+	headLeft     int    // bytes that Read may still return before ErrHeaderTooLarge; negative for no limit
 	err          error
 	stallTimeout time.Duration // maximum wait of a Read; zero means no limit
 }
 
 func newReceiveBuffer(limit int, budget *bufferBudget) *receiveBuffer {
-	return &receiveBuffer{limit: limit, budget: budget, headLeft: -1, changed: make(chan struct{}, 1)}
+	b := &receiveBuffer{limit: limit, charge: charge{budget: budget}, headLeft: -1, changed: make(chan struct{}, 1)}
+	b.drained = sync.NewCond(&b.mu)
+	return b
 }
 
 // reset prepares the buffer for the next response and reports whether the connection may be used.
 func (b *receiveBuffer) reset() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.releaseLocked()
+	b.total = 0
 	b.stallTimeout = 0
 	select {
 	case <-b.changed:
@@ -39,31 +48,42 @@
 	return b.err == nil && b.buf.Len() == 0
 }
 
-// release ends the count of the bytes received since the last reset.
+// release frees a large buffer after an exchange. Bytes that are left in it can't belong to a response to come.
 func (b *receiveBuffer) release() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.releaseLocked()
+	if b.buf.Cap() > maxIdleBufferBytes && (b.buf.Len() == 0 || b.err != nil) {
+		b.buf = bytes.Buffer{}
+	}
+	b.charge.set(b.buf.Len())
 }
 
-func (b *receiveBuffer) releaseLocked() {
-	b.budget.release(b.counted)
-	b.total, b.counted = 0, 0
+// setUnbounded sets whether push stores all bytes without waiting for the reader, up to the limits.
+func (b *receiveBuffer) setUnbounded(unbounded bool) {
+	b.mu.Lock()
+	b.unbounded = unbounded
+	b.mu.Unlock()
+	b.drained.Signal()
 }
 
-// push appends data. It returns an error if the size limit or the budget doesn't permit it.
+// push appends data, once the reader has read enough of the earlier bytes. It returns an error if the size limit or the
+// budget doesn't permit it, or if the buffer is closed.
 func (b *receiveBuffer) push(data []byte) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	for b.buf.Len() >= maxUnreadBytes && !b.unbounded && b.err == nil {
+		b.drained.Wait()
+	}
+	if b.err != nil {
+		return b.err
+	}
 	b.total += len(data)
 	if b.total > b.limit {
 		return ErrResponseTooLarge
 	}
-	counted, ok := b.budget.take(len(data), b.total)
-	if !ok {
+	if !b.charge.set(b.buf.Len() + len(data)) {
 		return ErrBuffersFull
 	}
-	b.counted += counted
 	b.buf.Write(data)
 	b.notify()
 	return nil
@@ -83,6 +103,7 @@
 		b.err = err
 	}
 	b.mu.Unlock()
+	b.drained.Signal()
 	b.notify()
 }
 
@@ -133,6 +154,8 @@
 			p = p[:min(len(p), b.headLeft)]
 		}
 		n, _ = b.buf.Read(p)
+		b.charge.set(b.buf.Len())
+		b.drained.Signal()
 		if b.headLeft > 0 {
 			b.headLeft -= n
 		}
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -16,6 +16,9 @@
 	MaxBodyBytes int
 	// MaxBufferedBytes limits the request bodies buffered for all connections together, in bytes. Default 512 MiB.
 	MaxBufferedBytes int64
+	// OnHeldResponse is called with the size of a response's body when the response is about to be written, and with
+	// the negative size when it has been written. It may be nil.
+	OnHeldResponse func(bytes int)
 	// ReadTimeout limits the time from a request's first byte to its last. Default 60 s.
 	ReadTimeout time.Duration
 	// IdleTimeout limits the time between requests on one connection. Default 120 s.
@@ -59,6 +62,9 @@
 	setDefault(&c.IdleTimeout, defaultIdleTimeout)
 	setDefault(&c.WriteTimeout, defaultWriteTimeout)
 	setDefault(&c.Workers, defaultWorkers)
+	if c.OnHeldResponse == nil {
+		c.OnHeldResponse = func(int) {}
+	}
 	return c
 }
 
--- a/internal/front/conn_serve.go
+++ b/internal/front/conn_serve.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"github.com/bilberryline/bilberryline/internal/httpwire"
 	"github.com/bilberryline/bilberryline/internal/panics"
 )
 
@@ -17,6 +18,8 @@
 	bodyBytes  int64         // body bytes that count against MaxBufferedBytes
 	closeAfter bool          // close the connection after the response
 	refusal    *RefusedError // if set, sent instead of a response of the handler
+	// responseBytes is the size of the response's body, which is held until it is written.
+	responseBytes int
 }
 
 // enqueue adds a request to the queue and starts a worker if none is active. It blocks while maxPipelined requests
@@ -64,11 +67,13 @@
 }
 
 // serve handles one request and returns the bytes of the response that could not be written in time.
-func (c *conn) serve(q *queuedRequest) (unwritten []byte) {
+func (c *conn) serve(q *queuedRequest) (unwritten httpwire.Buffers) {
 	if q.refusal != nil {
 		return c.tryWrite(encode(refusalResponse(q.refusal), http.MethodGet, true))
 	}
 	resp := c.handle(q.req)
+	q.responseBytes = len(resp.Body)
+	c.server.cfg.OnHeldResponse(q.responseBytes)
 	q.closeAfter = q.closeAfter || c.server.draining.Load()
 	return c.tryWrite(encode(resp, q.req.Method, q.closeAfter))
 }
@@ -87,6 +92,7 @@
 // finish releases the buffer space and the pipeline slot of a request after its response was written.
 func (c *conn) finish(q *queuedRequest) {
 	c.server.addBuffered(-q.bodyBytes)
+	c.server.cfg.OnHeldResponse(-q.responseBytes)
 	c.server.inFlight.Add(-1)
 	if q.closeAfter {
 		c.mu.Lock()
@@ -97,23 +103,23 @@
 }
 
 // tryWrite writes data until workerWriteTimeout and returns the bytes that remain.
-func (c *conn) tryWrite(data []byte) (unwritten []byte) {
+func (c *conn) tryWrite(data httpwire.Buffers) (unwritten httpwire.Buffers) {
 	_ = c.raw.SetWriteDeadline(time.Now().Add(workerWriteTimeout))
-	n, err := c.raw.Write(data)
+	_, err := data.WriteTo(c.raw)
 	if err == nil {
 		return nil
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return data[n:]
+		return data
 	}
 	_ = c.raw.Close()
 	return nil
 }
 
 // writeRemaining writes data within the write timeout, or else closes the connection.
-func (c *conn) writeRemaining(data []byte) {
+func (c *conn) writeRemaining(data httpwire.Buffers) {
 	_ = c.raw.SetWriteDeadline(time.Now().Add(c.server.cfg.WriteTimeout))
-	if _, err := c.raw.Write(data); err != nil {
+	if _, err := data.WriteTo(c.raw); err != nil {
 		_ = c.raw.Close()
 	}
 }
--- a/internal/front/encode.go
+++ b/internal/front/encode.go
@@ -5,15 +5,17 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/bilberryline/bilberryline/internal/httpwire"
 )
 
 // headSizeHint is the number of bytes allocated for the status line and the header.
 const headSizeHint = 512
 
 // encode returns resp as an HTTP/1.1 message.
-func encode(resp *Response, method string, closeAfter bool) []byte {
+func encode(resp *Response, method string, closeAfter bool) httpwire.Buffers {
 	var b bytes.Buffer
-	b.Grow(len(resp.Body) + headSizeHint)
+	b.Grow(headSizeHint)
 	b.WriteString("HTTP/1.1 ")
 	b.WriteString(strconv.Itoa(resp.Status))
 	b.WriteByte(' ')
@@ -30,10 +32,10 @@
 		b.WriteString("Content-Length: " + length + "\r\n")
 	}
 	b.WriteString("\r\n")
-	if method != http.MethodHead && bodyAllowed(resp.Status) {
-		b.Write(resp.Body)
+	if method == http.MethodHead || !bodyAllowed(resp.Status) {
+		return httpwire.Message(b.Bytes(), nil)
 	}
-	return b.Bytes()
+	return httpwire.Message(b.Bytes(), resp.Body)
 }
 
 // generatedHeaders lists the header fields that encode sets itself.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,7 +94,10 @@
 	})
 	cfg.Node.Handle(quarantine.Method, tracker.Handle)
 	g.crashDetector = quarantine.NewCrashDetector(tracker, &g.background)
-	g.front = front.New(front.Config{Address: cfg.Listen, Handler: g, MaxBodyBytes: cfg.MaxBodyBytes, MaxBufferedBytes: cfg.MaxBufferedBytes, MaxConnections: cfg.MaxConnections})
+	g.front = front.New(front.Config{
+		Address: cfg.Listen, Handler: g, MaxBodyBytes: cfg.MaxBodyBytes, MaxBufferedBytes: cfg.MaxBufferedBytes,
+		MaxConnections: cfg.MaxConnections, OnHeldResponse: g.client.Hold,
+	})
 	g.front.OnRefuse(func(_ remoteAddress, refusal *front.RefusedError) {
 		cfg.Events.Record(event.RequestMalformed, event.Fields{Detail: refusal.Error()})
 	})
