Let a route recover from a too large latency estimate

Callers would see: a route refused for good after a time of slow answers (found by the review in the code).

Cause: the estimate changes with answers only; beyond the time limit it rules out every server, so that none comes.

Change: a request that fails because of the estimate alone moves it a tenth of the way back to its initial value.

--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -87,6 +87,9 @@
 				return best, nil
 			}
 			if over {
+				if c.unloadedLatency() > time.Until(c.deadline) {
+					c.g.routeStats.relax(c.route)
+				}
 				return choice{}, &NoServerError{Service: c.service.Name, Expected: best.expected, Registered: len(c.candidates())}
 			}
 		}
--- a/internal/gateway/route_stats.go
+++ b/internal/gateway/route_stats.go
@@ -13,6 +13,8 @@
 	initialLatencyShare = 1.0 / 3
 	// routeStatsGain is the weight of one response in the moving averages.
 	routeStatsGain = 0.05
+	// relaxGain is the weight of the initial estimate each time that a request fails because of a too large one.
+	relaxGain = 0.1
 	// maxSampleRatio limits a sample of the response time, as a multiple of the expected time. A few requests take
 	// many times longer than the rest.
 	maxSampleRatio = 3.0
@@ -66,6 +68,17 @@
 	return time.Duration(initialLatencyShare * float64(r.Objective))
 }
 
+// relax moves the estimated unloaded latency of a route towards its initial value. It is called when the estimate rules
+// out all servers, so that no response can lower it.
+func (s *routeStats) relax(r *routing.Route) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	initial := initialLatencyShare * float64(r.Objective)
+	if old, known := s.latencies[r.Name]; known && float64(old) > initial {
+		s.latencies[r.Name] = time.Duration(float64(old) + relaxGain*(initial-float64(old)))
+	}
+}
+
 // observe adds a response to the averages. took is its response time, expected the response time that was expected
 // of the server under its load, and body the size of the response body in bytes.
 func (s *routeStats) observe(r *routing.Route, took, expected time.Duration, body int) {
