Send nothing new to servers that leave or ask for a pause

Change: each response's header is observed as soon as it is read, also of refusals, probes, skipped and broken-off responses. A leaving incarnation gets nothing new from this host, also when its registration ends and comes back; a server that asks for a pause gets nothing until its end, and then one request at a time until it accepts one. Both are checked again under lock in the moment of the send. If all servers of a service turn requests away, callers are refused at once with the time until the first is free.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -128,6 +128,9 @@
 		if err != nil {
 			return nil, false, err
 		}
+		if req.OnHeader != nil {
+			req.OnHeader(httpResp.StatusCode, httpResp.Header)
+		}
 		c.received.setStallTimeout(c.pool.client.cfg.StallTimeout)
 		body, closeDelimited, err := c.readBody(httpResp, req)
 		if err != nil {
--- a/internal/backend/message.go
+++ b/internal/backend/message.go
@@ -26,6 +26,9 @@
 	// OnSend is called once, immediately before the first byte is written. If it returns an error, nothing is sent
 	// and Do returns that error. It may be nil.
 	OnSend func() error
+	// OnHeader is called with the status and the header fields of each final response that is read, also of one that
+	// doesn't match or whose body turns out to be incomplete. It may be nil.
+	OnHeader func(status int, h http.Header)
 	// MatchResponse reports by the header fields whether a response belongs to this request. A response that does not,
 	// such as a late response to an earlier request, is skipped. If MatchResponse is nil, every response matches.
 	MatchResponse func(http.Header) bool
--- a/internal/event/catalogue_gateway.go
+++ b/internal/event/catalogue_gateway.go
@@ -9,6 +9,9 @@
 	GatewayUnknown  ID = 1324
 	GatewayFault    ID = 1325
 	GatewayHedged   ID = 1326
+	GatewayLeaving  ID = 1327
+	GatewayBackoff  ID = 1328
+	GatewayOddDelay ID = 1329
 )
 
 var _ = register(
@@ -19,4 +22,7 @@
 	Kind{GatewayUnknown, "gateway-unknown", Warning, "the outcome of a request is unknown", "Check the backend server's own records for the request."},
 	Kind{GatewayFault, "gateway-fault", Info, "an exchange with a backend server ended without a complete response", "If this repeats, check the named server."},
 	Kind{GatewayHedged, "gateway-hedged", Info, "a slow idempotent request is hedged: a second attempt is sent, and the first response is used", ""},
+	Kind{GatewayLeaving, "gateway-leaving", Info, "a backend server says that it is leaving; it gets no new requests from this host", ""},
+	Kind{GatewayBackoff, "gateway-backoff", Info, "a backend server asks for a pause; it gets no requests from this host until then", ""},
+	Kind{GatewayOddDelay, "gateway-odd-delay", Warning, "a backend server asks for a pause of invalid or excessive length, which is ignored or shortened", "Check the Retry-After that the named server sends."},
 )
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -32,6 +32,9 @@
 	ErrStopping ConstError = "the host stops"
 	// ErrGoroutinesLeft means that goroutines were still running at the end of a graceful stop.
 	ErrGoroutinesLeft ConstError = "goroutines were still running at the end of the stop"
+	// ErrTurnedAway means that a server said, after it was chosen and before the request was sent, that it is leaving or
+	// wants no requests for a while.
+	ErrTurnedAway ConstError = "the backend server wants no new requests"
 	// ErrDeregistered means that a server was deregistered after it was chosen and before the request was sent.
 	ErrDeregistered ConstError = "the backend server is no longer registered"
 )
@@ -44,10 +47,16 @@
 	Expected time.Duration
 	// Registered is the number of servers registered for the service.
 	Registered int
+	// FreeIn is the time until the first server wants requests again, if all of them have asked for a pause or are
+	// leaving. It is zero otherwise, or if all are leaving.
+	FreeIn time.Duration
 }
 
 // Error implements error.
 func (e *NoServerError) Error() string {
+	if e.FreeIn > 0 {
+		return fmt.Sprintf("service %s: all of %d backend servers turn requests away, the first for another %s", e.Service, e.Registered, e.FreeIn.Round(time.Millisecond))
+	}
 	if e.Expected == 0 {
 		return fmt.Sprintf("service %s: none of %d backend servers is usable", e.Service, e.Registered)
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -33,11 +33,17 @@
 		RequireFreshConn:     !c.route.Idempotent,
 		AcceptCloseDelimited: true,
 		MatchResponse:        func(h http.Header) bool { return c.matchesRequest(h, s) },
+		OnHeader:             func(status int, h http.Header) { c.g.observeNotice(s, c.id, status, h) },
 		OnSend: func() error {
+			started, err := s.startRequest(chosen.expected, time.Now())
+			if err != nil {
+				return err
+			}
 			if err := c.beforeSend(callerCtx, res.attempt, s); err != nil {
+				s.withdrawRequest(started)
 				return err
 			}
-			sent = s.startRequest(chosen.expected, time.Now())
+			sent = started
 			if opts.onSend != nil {
 				opts.onSend(chosen)
 			}
--- a/internal/gateway/feedback.go
+++ b/internal/gateway/feedback.go
@@ -21,6 +21,9 @@
 	if resp.ConnectTime > 0 {
 		c.g.roundTrips.observe(s.target.Site, resp.ConnectTime)
 	}
+	if resp.Status != http.StatusServiceUnavailable {
+		s.recordAccepted(sent)
+	}
 	c.recordLoad(s, resp, now)
 	c.g.queues.get(c.service.Name).wakeHead()
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/bilberryline/bilberryline/internal/registry"
 )
@@ -10,10 +12,20 @@
 // fleet holds the registered backend servers and their state. Readers use an immutable snapshot, which update
 // replaces.
 type fleet struct {
-	mu       sync.Mutex // serializes updates
+	mu       sync.Mutex // serializes updates; guards left
 	snapshot atomic.Pointer[fleetSnapshot]
+	left     map[incarnation]time.Time // when servers said that they are leaving
 }
 
+// incarnation identifies a start of a backend server.
+type incarnation struct {
+	id, address string
+	started     int64 // Unix time in milliseconds
+}
+
+// leftRetention is how long it is remembered that a server is leaving, in case its registration comes back.
+const leftRetention = 10 * time.Minute
+
 type fleetSnapshot struct {
 	view      *registry.View
 	byID      map[string]*server
@@ -21,7 +33,7 @@
 }
 
 func newFleet() *fleet {
-	f := &fleet{}
+	f := &fleet{left: make(map[incarnation]time.Time)}
 	f.snapshot.Store(&fleetSnapshot{view: &registry.View{}})
 	return f
 }
@@ -42,6 +54,7 @@
 			s := old.byID[t.ID]
 			if s == nil || !sameIncarnation(s.target, t) {
 				s = newServer(t)
+				_, s.notice.leaving = f.left[incarnationOf(t)]
 			}
 			next.byID[t.ID] = s
 			next.byService[service] = append(next.byService[service], s)
@@ -50,6 +63,23 @@
 	f.snapshot.Store(next)
 }
 
+// rememberLeaving records that a server is leaving. A registration of the same incarnation that ends and comes back, as
+// after an outage of the store, doesn't bring the server back.
+func (f *fleet) rememberLeaving(t *registry.Target) {
+	if t.Started.IsZero() {
+		return // the next incarnation would look the same
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(f.left, func(_ incarnation, at time.Time) bool { return now.Sub(at) > leftRetention })
+	f.left[incarnationOf(t)] = now
+}
+
+func incarnationOf(t *registry.Target) incarnation {
+	return incarnation{id: t.ID, address: t.Address, started: t.Started.UnixMilli()}
+}
+
 // newestByAddress returns the target with the highest revision for each address.
 func newestByAddress(v *registry.View) map[string]*registry.Target {
 	newest := make(map[string]*registry.Target)
--- a/internal/gateway/give_up.go
+++ b/internal/gateway/give_up.go
@@ -59,6 +59,8 @@
 		pause = otherHostRetryAfter
 	case errors.As(err, &refused) && refused.HadFreeSlots:
 		pause = shedRetryAfter
+	case errors.As(err, &noServer) && noServer.FreeIn > 0:
+		pause = min(noServer.FreeIn, most)
 	case errors.As(err, &noServer) && noServer.Expected > 0:
 		pause = min(max(noServer.Expected-c.route.Objective, least), most)
 	}
--- a/internal/gateway/header_names.go
+++ b/internal/gateway/header_names.go
@@ -17,6 +17,8 @@
 	// Load is the load report of a backend server: the numbers of requests running and waiting, the number of slots
 	// and, optionally, its slowness in percent.
 	Load string
+	// Leaving is set to 1 in all responses of a backend server that shuts down and accepts no new requests.
+	Leaving string
 }
 
 // DefaultHeaderNames holds the default header names.
@@ -28,4 +30,5 @@
 	Instance:       "Bilberryline-Instance",
 	NotRun:         "Bilberryline-Not-Run",
 	Load:           "Bilberryline-Load",
+	Leaving:        "Bilberryline-Leaving",
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,8 @@
 	hedges       *prometheus.CounterVec
 	targetFaults *prometheus.CounterVec
 	probes       *prometheus.CounterVec
+	leaving      *prometheus.CounterVec
+	backoffs     *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -38,7 +40,9 @@
 	m.hedges = counter("hedges_total", "Second copies of slow idempotent requests, by service.", "service")
 	m.targetFaults = counter("target_faults_total", "Exchanges with backend servers that ended without an answer.", "service", "fault")
 	m.probes = counter("probes_total", "Questions about the load of backend servers, by service.", "service")
-	m.registry.MustRegister(m.answers, m.latency, m.refused, m.unknown, m.retries, m.hedges, m.targetFaults, m.probes,
+	m.leaving = counter("servers_leaving_total", "Backend servers that said in a response that they are leaving.", "service")
+	m.backoffs = counter("server_backoffs_total", "Responses in which a backend server asked for a pause.", "service")
+	m.registry.MustRegister(m.answers, m.latency, m.refused, m.unknown, m.retries, m.hedges, m.targetFaults, m.probes, m.leaving, m.backoffs,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -86,6 +86,9 @@
 			if ok && (c.acceptable(best, time.Since(start)) || over && c.acceptableLate(best)) {
 				return best, nil
 			}
+			if freeAt, away := c.allTurnAway(time.Now()); !ok && away && (freeAt.After(holdEnd) || freeAt.IsZero()) {
+				return choice{}, &NoServerError{Service: c.service.Name, Registered: len(c.candidates()), FreeIn: max(0, time.Until(freeAt))}
+			}
 			if over {
 				if c.unloadedLatency() > time.Until(c.deadline) {
 					c.g.routeStats.relax(c.route)
@@ -185,6 +188,26 @@
 	return rings
 }
 
+// allTurnAway reports whether all servers that no earlier attempt chose have said that they want no new requests now. It
+// returns when the first of them does again, or the zero time if all are leaving.
+func (c *call) allTurnAway(now time.Time) (freeAt time.Time, away bool) {
+	tried := c.triedTargets()
+	for _, s := range c.candidates() {
+		if slices.Contains(tried, s.target.ID) {
+			continue
+		}
+		until, turnsAway := s.turnsAway(now)
+		if !turnsAway {
+			return time.Time{}, false
+		}
+		away = true
+		if !until.IsZero() && (freeAt.IsZero() || until.Before(freeAt)) {
+			freeAt = until
+		}
+	}
+	return freeAt, away
+}
+
 // candidates returns the registered servers of the call's service.
 func (c *call) candidates() []*server { return c.g.fleet.load().byService[c.service.Name] }
 
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -109,6 +109,7 @@
 		Host:                 s.target.Address,
 		Header:               http.Header{},
 		AcceptCloseDelimited: true,
+		OnHeader:             func(status int, h http.Header) { g.observeNotice(s, "probe", status, h) },
 		MatchResponse:        func(h http.Header) bool { return h.Get(g.cfg.Headers.RequestID) == "" },
 	})
 	now := time.Now()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -48,6 +48,7 @@
 	unhealthy       bool          // its health check says that it accepts no work
 	replaced        bool          // another incarnation has its address
 	echoesIDs       bool          // its responses repeat the ids of requests
+	notice          serverNotice  // what it has said about new requests
 	probe           *probe        // probe in flight, or nil
 	probeBucket     tokenBucket   // limits the probe rate
 }
@@ -75,7 +76,7 @@
 func (s *server) probeable(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.replaced && !now.Before(s.backoffUntil)
+	return !s.replaced && !now.Before(s.backoffUntil) && s.acceptsLocked(now)
 }
 
 // usable reports whether new requests may be sent to the server. An unreachable server must answer a probe first.
@@ -85,7 +86,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	late := s.probe != nil && now.Sub(s.probe.startedAt) >= stragglerWait/2
-	return !s.replaced && !s.unhealthy && !late && s.failures == 0
+	return !s.replaced && !s.unhealthy && !late && s.failures == 0 && s.acceptsLocked(now)
 }
 
 // state returns the input for the estimate of the server's response time. rtt is the round-trip time to the
@@ -145,14 +146,26 @@
 	return min(ratio, maxObservedRatio)
 }
 
-// startRequest adds a request that is about to be sent.
-func (s *server) startRequest(expected time.Duration, now time.Time) *inFlightRequest {
+// startRequest adds a request that is about to be sent. It returns ErrTurnedAway if the server has said meanwhile that it
+// wants none.
+func (s *server) startRequest(expected time.Duration, now time.Time) (*inFlightRequest, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.acceptsLocked(now) {
+		return nil, ErrTurnedAway
+	}
 	r := &inFlightRequest{sentAt: now, expected: expected}
 	s.inFlight[r] = struct{}{}
 	s.sentSinceReport++
-	return r
+	return r, nil
+}
+
+// withdrawRequest undoes startRequest for a request that was not sent.
+func (s *server) withdrawRequest(r *inFlightRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.inFlight, r)
+	s.sentSinceReport = max(s.sentSinceReport-1, 0)
 }
 
 // endRequest removes a request without updating the statistics.
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -49,7 +49,7 @@
 	now := time.Unix(1000, 0)
 	s := testServer()
 	before := s.state(0, now).ObservedRatio
-	s.recordSuccess(s.startRequest(100*time.Millisecond, now), 500*time.Millisecond, now)
+	s.recordSuccess(started(t, s, 100*time.Millisecond, now), 500*time.Millisecond, now)
 	slow := s.state(0, now).ObservedRatio
 	is.True(slow > before)
 	is.True(s.state(0, now.Add(10*scoreHalfLife)).ObservedRatio < slow) // it decays, so that the server is tried again
@@ -62,10 +62,10 @@
 	now := time.Unix(1000, 0)
 	idle, full := testServer(), testServer()
 	idle.setReport(expect.Report{Slots: 2, Slowness: 1}, now)
-	is.True(idle.recordRefusal(idle.startRequest(time.Second, now), now))
+	is.True(idle.recordRefusal(started(t, idle, time.Second, now), now))
 	is.True(idle.shedProbability(now) > 0)
 	full.setReport(expect.Report{Running: 2, Slots: 2, Slowness: 1}, now)
-	is.True(!full.recordRefusal(full.startRequest(time.Second, now), now))
+	is.True(!full.recordRefusal(started(t, full, time.Second, now), now))
 	is.Equal(full.shedProbability(now), 0.0) // other hosts took the slots first; that is no fault of the server
 }
 
@@ -73,7 +73,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	s := testServer()
-	s.startRequest(100*time.Millisecond, now)
+	started(t, s, 100*time.Millisecond, now)
 	is.Equal(s.state(0, now.Add(100*time.Millisecond)).ObservedRatio, 1.0)
 	is.True(s.state(0, now.Add(time.Second)).ObservedRatio > 2)
 }
@@ -179,3 +179,11 @@
 		is.True(spent > 0)
 	}
 }
+
+// started returns a request that the server was sent.
+func started(t *testing.T, s *server, expected time.Duration, now time.Time) *inFlightRequest {
+	t.Helper()
+	r, err := s.startRequest(expected, now)
+	is.New(t).NoErr(err)
+	return r
+}
