Release the memory of unread bytes when an exchange fails

Cause: unread bytes count beyond 64 KiB, and the end of a failed exchange set the charge to what was left in the buffer, which nobody read any more.

Change: the end of an exchange drops what is left, which makes the connection unusable, and releases the charge.

--- a/internal/backend/memory_test.go
+++ b/internal/backend/memory_test.go
@@ -35,6 +35,23 @@
 	is.Equal(budget.used.Load(), int64(0))
 }
 
+// An exchange that fails leaves unread bytes behind. They must not count for good.
+func TestUnreadBytesOfFailedExchangeAreReleased(t *testing.T) {
+	is := is.New(t)
+	budget := &bufferBudget{limit: 1 << 30}
+	b := newReceiveBuffer(1<<30, budget)
+	b.setUnbounded(true)
+	is.NoErr(b.push(make([]byte, 3*uncountedBytes)))
+	b.setUnbounded(false)
+	is.True(budget.used.Load() > 0)
+	pushed := make(chan error, 1)
+	go func() { pushed <- b.push([]byte("x")) }()
+	b.release()
+	is.Equal(budget.used.Load(), int64(0))
+	is.True(errors.Is(<-pushed, ErrUnsolicitedData))
+	is.True(!b.usable())
+}
+
 // A server may answer while it still reads the request, and the read loop must not wait for the writer then.
 func TestResponseIsStoredWhileTheRequestIsWritten(t *testing.T) {
 	is := is.New(t)
--- a/internal/backend/receive_buffer.go
+++ b/internal/backend/receive_buffer.go
@@ -48,14 +48,20 @@
 	return b.err == nil && b.buf.Len() == 0
 }
 
-// release frees a large buffer after an exchange. Bytes that are left in it can't belong to a response to come.
+// release frees a large buffer after an exchange. Bytes that are left in it belong to no response, and the connection
+// can't be used again.
 func (b *receiveBuffer) release() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.buf.Cap() > maxIdleBufferBytes && (b.buf.Len() == 0 || b.err != nil) {
+	leftOver := b.buf.Len() > 0
+	if leftOver && b.err == nil {
+		b.err = ErrUnsolicitedData
+	}
+	if leftOver || b.buf.Cap() > maxIdleBufferBytes {
 		b.buf = bytes.Buffer{}
 	}
-	b.charge.set(b.buf.Len())
+	b.charge.set(0)
+	b.drained.Signal()
 }
 
 // setUnbounded sets whether push stores all bytes without waiting for the reader, up to the limits.
