Begin a body after the byte that ends the head

Cause: the parser reports the end of a head at its last CR. When the LF came in the next read, the body reader took it as the first byte of the body. The validator of heads was reset at the same place, so that the request after one without a body would have got 400.

Change: body and validator begin after the byte that ends the head.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -31,6 +31,7 @@
 	validator headValidator
 	processor *processor
 	body      *bodyReader // nil unless a body is being read
+	nextBody  *bodyReader // the body that follows the current head, or nil
 
 	mu             sync.Mutex
 	headerBytes    int              // bytes read of the header of the current message
@@ -107,7 +108,16 @@
 		c.refuse(&RefusedError{Status: http.StatusBadRequest, Reason: ReasonSyntax})
 		return n, false
 	}
-	return n, c.feed(data[:n])
+	// The parser has the whole head before its last byte, the final LF.
+	complete := c.validator.state == headComplete
+	if complete {
+		c.validator = headValidator{}
+	}
+	ok = c.feed(data[:n])
+	if complete {
+		c.body, c.nextBody = c.nextBody, nil
+	}
+	return n, ok
 }
 
 // onBodyData processes data up to the end of a message's body.
@@ -177,9 +187,8 @@
 // onHeaderComplete is called when the header of the current message is complete. length is the Content-Length, zero
 // or negative if the message has no body or a chunked one.
 func (c *conn) onHeaderComplete(length int, chunked bool) {
-	c.validator = headValidator{}
 	if length > 0 || chunked {
-		c.body = newBodyReader(max(length, 0), chunked, c.server.limits.Load().MaxBodyBytes, c.bufferBody)
+		c.nextBody = newBodyReader(max(length, 0), chunked, c.server.limits.Load().MaxBodyBytes, c.bufferBody)
 	}
 	c.mu.Lock()
 	c.inHeader = false
