--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -30,6 +30,8 @@
 var cases = map[string]func(d *deployment) (broken bool, err error){
 	"crash-evidence-restart": crashEvidenceRestart,
 	"crash-evidence-tenant":  crashEvidenceTenant,
+	"failure-after-run":      failureAfterRun,
+	"revoke-all-tenants":     revokeAllTenants,
 }
 
 func main() {
--- a/review/standin-2/target.go
+++ b/review/standin-2/target.go
@@ -27,9 +27,11 @@
 	restartAfter time.Duration
 	// crashes reports whether a request crashes the target when it begins to run. It may be nil.
 	crashes func(r *http.Request) bool
-	store   *store
-	rec     *record
-	ids     func() string
+	// fails reports whether the target runs a request and then fails it with a status of its own. It may be nil.
+	fails func(r *http.Request) (status int, fails bool)
+	store *store
+	rec   *record
+	ids   func() string
 
 	mu       sync.Mutex
 	id       string
@@ -198,6 +200,12 @@
 	h.Set("X-Bilberryline-Response-Signature", signature(id, request))
 	if work > limit {
 		w.WriteHeader(http.StatusGatewayTimeout)
+	} else if t.fails != nil {
+		if status, failed := t.fails(r); failed {
+			t.rec.add("target %s has run %s and fails it with %d", id, request, status)
+			w.WriteHeader(status)
+			return
+		}
 	}
 	_, _ = fmt.Fprintf(w, "%s %s %s %d", t.service, r.Method, r.URL.RequestURI(), len(body))
 }
