--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -182,8 +182,8 @@
 			case <-time.After(interval):
 			}
 			g := d.gateways[i%len(d.gateways)]
-			if time.Since(g.lastTouched()) < 3*time.Second {
-				continue // the platform's balancer sends new callers elsewhere
+			if !g.takesCallers() {
+				continue
 			}
 			wg.Go(func() {
 				a := d.send(g, method, path, body, header, true)
--- a/review/standin-2/gateway.go
+++ b/review/standin-2/gateway.go
@@ -80,6 +80,7 @@
 	exited    chan struct{}
 	starts    int
 	touchedAt time.Time // last start or signal
+	signalled bool      // it got a signal since its last start
 }
 
 func freePort(ip string) (string, error) {
@@ -142,7 +143,7 @@
 		return err
 	}
 	exited := make(chan struct{})
-	g.cmd, g.exited, g.touchedAt = cmd, exited, time.Now()
+	g.cmd, g.exited, g.touchedAt, g.signalled = cmd, exited, time.Now(), false
 	g.rec.add("%s starts at %s", g.name, g.front)
 	go func() {
 		_ = cmd.Wait()
@@ -154,7 +155,7 @@
 func (g *gateway) signal(s syscall.Signal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.touchedAt = time.Now()
+	g.touchedAt, g.signalled = time.Now(), true
 	g.rec.add("%s gets %s", g.name, s)
 	_ = g.cmd.Process.Signal(s)
 }
@@ -179,6 +180,13 @@
 	return g.touchedAt
 }
 
+// takesCallers reports whether the platform's balancer sends new callers to the host.
+func (g *gateway) takesCallers() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.signalled && time.Since(g.touchedAt) >= stability
+}
+
 var readyClient = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
 func (g *gateway) isReady() bool {
