--- a/review/standin-2/case_crash.go
+++ b/review/standin-2/case_crash.go
@@ -54,9 +54,9 @@
 // again now and then. Each host is in touch again when the request reaches it.
 func crashEvidenceRestart(d *deployment) (bool, error) {
 	const hosts = 8
-	d.store.put("op/config", configuration("huvo11a", nil))
+	d.store.put("op/config", configuration(nil))
 	isPoison := func(r *http.Request) bool { return r.URL.Path == poisonPath }
-	if err := d.addTargets("huvo11a", 18, isPoison); err != nil {
+	if err := d.addTargets(18, isPoison); err != nil {
 		return false, err
 	}
 	if err := d.addGateways(hosts, nil); err != nil {
@@ -115,14 +115,14 @@
 // crashEvidenceTenant sends a request of one tenant that crashes targets, while another tenant sends a request with the
 // same method, path and body that runs well.
 func crashEvidenceTenant(d *deployment) (bool, error) {
-	d.store.put("op/config", configuration("huvo11a", []map[string]any{
+	d.store.put("op/config", configuration([]map[string]any{
 		{"name": "kaje80", "apiKeys": []string{"jqurtyiikdrbn4ryrbbk"}, "priority": 1},
 		{"name": "wuno96", "apiKeys": []string{"f83fgfwrz56aw63is47q"}, "priority": 1},
 	}))
 	isPoison := func(r *http.Request) bool {
 		return trouble && r.URL.Path == poisonPath && r.Header.Get("X-Bilberryline-Tenant") == "kaje80"
 	}
-	if err := d.addTargets("huvo11a", 18, isPoison); err != nil {
+	if err := d.addTargets(18, isPoison); err != nil {
 		return false, err
 	}
 	if err := d.addGateways(3, nil); err != nil {
--- a/review/standin-2/case_refused.go
+++ b/review/standin-2/case_refused.go
@@ -21,8 +21,8 @@
 // failureAfterRun books visits while some targets fail a part of the requests that they have run. A caller sends a booking
 // again after a promise that it has not run, as the pages say.
 func failureAfterRun(d *deployment) (bool, error) {
-	d.store.put("op/config", configuration("huvo11a", nil))
-	if err := d.addTargets("huvo11a", 18, nil); err != nil {
+	d.store.put("op/config", configuration(nil))
+	if err := d.addTargets(18, nil); err != nil {
 		return false, err
 	}
 	if trouble {
--- a/review/standin-2/case_revoke.go
+++ b/review/standin-2/case_revoke.go
@@ -19,7 +19,7 @@
 	if control {
 		tenants = append(tenants, other)
 	}
-	d.store.put("op/config", configuration("huvo11a", tenants))
+	d.store.put("op/config", configuration(tenants))
 	passedOn := map[string]string{}
 	isRun := func(r *http.Request) bool {
 		if key := r.Header.Get("X-Bilberryline-Key"); key != "" {
@@ -29,7 +29,7 @@
 		}
 		return false
 	}
-	if err := d.addTargets("huvo11a", 6, isRun); err != nil {
+	if err := d.addTargets(6, isRun); err != nil {
 		return false, err
 	}
 	extra := map[string]string{"bounds.config": "3000ms", "bounds.drain": "3000ms", "bounds.quotaWindow": "5s", "bounds.quotaExcess": "0.1", "bounds.quotaSlack": "20"}
@@ -62,7 +62,7 @@
 		if control {
 			remaining = append(remaining, other)
 		}
-		c := configuration("huvo11a", remaining)
+		c := configuration(remaining)
 		c["version"] = "r9"
 		d.store.put("op/config", c)
 		acknowledged = time.Now()
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -15,7 +15,10 @@
 	"time"
 )
 
-const virtualHost = "ficu95.example"
+const (
+	virtualHost = "ficu95.example"
+	serviceName = "huvo11a"
+)
 
 // deployment is a small deployment: the store, targets and gateways.
 type deployment struct {
@@ -61,14 +64,14 @@
 }
 
 // configuration returns the operator's configuration with one idempotent and one non-idempotent route.
-func configuration(service string, tenants []map[string]any) map[string]any {
+func configuration(tenants []map[string]any) map[string]any {
 	paths := []map[string]any{
-		{"name": "r-look", "prefix": "/look/", "kind": "idempotent", "timeout": "1500ms", "slo": "400ms", "priority": 2, "service": service, "maxAttempts": 2},
-		{"name": "r-book", "prefix": "/book/", "kind": "non_idempotent", "timeout": "2000ms", "slo": "500ms", "priority": 1, "service": service, "maxAttempts": 2},
+		{"name": "r-look", "prefix": "/look/", "kind": "idempotent", "timeout": "1500ms", "slo": "400ms", "priority": 2, "service": serviceName, "maxAttempts": 2},
+		{"name": "r-book", "prefix": "/book/", "kind": "non_idempotent", "timeout": "2000ms", "slo": "500ms", "priority": 1, "service": serviceName, "maxAttempts": 2},
 	}
 	c := map[string]any{
 		"version":  "r7",
-		"services": []map[string]any{{"name": service, "healthPath": "/healthz", "maxConns": 240, "protocol": "h1", "tls": false}},
+		"services": []map[string]any{{"name": serviceName, "healthPath": "/healthz", "maxConns": 240, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
 		"vhosts":   []map[string]any{{"host": virtualHost, "paths": paths}},
 	}
@@ -79,9 +82,9 @@
 }
 
 // addTargets starts targets in all zones.
-func (d *deployment) addTargets(service string, n int, crashes func(*http.Request) bool) error {
+func (d *deployment) addTargets(n int, crashes func(*http.Request) bool) error {
 	for i := range n {
-		t := &target{service: service, zone: zones[i%len(zones)], slots: 6, queue: 24, work: 140 * time.Millisecond,
+		t := &target{service: serviceName, zone: zones[i%len(zones)], slots: 6, queue: 24, work: 140 * time.Millisecond,
 			restartAfter: 3 * time.Second, crashes: crashes, store: d.store, rec: d.rec}
 		t.ids = func() string { return fmt.Sprintf("i-%08x", 0x7f3a9000+d.nextID.Add(1)) }
 		if err := t.start(); err != nil {
--- a/review/standin-2/gateway.go
+++ b/review/standin-2/gateway.go
@@ -48,7 +48,7 @@
 		}
 	}
 	if len(d.command) == 0 {
-		return d, fmt.Errorf("%s has no command", path)
+		return d, &caseError{path + " has no command"}
 	}
 	return d, nil
 }
@@ -204,7 +204,7 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("%s isn't ready after %s", g.name, limit)
+	return &caseError{fmt.Sprintf("%s isn't ready after %s", g.name, limit)}
 }
 
 func (g *gateway) kill() {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -34,6 +34,12 @@
 	"revoke-all-tenants":     revokeAllTenants,
 }
 
+// caseError is the reason why a case couldn't run.
+type caseError struct{ reason string }
+
+// Error implements error.
+func (e *caseError) Error() string { return e.reason }
+
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE FOLDER")
@@ -65,9 +71,9 @@
 	case r := <-ended:
 		broken, err = r.broken, r.err
 	case s := <-signals:
-		err = fmt.Errorf("the script got %s", s)
+		err = &caseError{"the script got " + s.String()}
 	case <-time.After(timeLimit):
-		err = fmt.Errorf("the case took longer than %s", timeLimit)
+		err = &caseError{"the case took longer than " + timeLimit.String()}
 	}
 	switch {
 	case err != nil:
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -63,15 +63,15 @@
 	return s, nil
 }
 
-// put writes a key and returns the revision of the write.
-func (s *store) put(key string, value any) uint64 {
+// put writes a key.
+func (s *store) put(key string, value any) {
 	data, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.writeLocked([]item{{Key: key, Value: data}}, nil)
+	s.writeLocked([]item{{Key: key, Value: data}}, nil)
 }
 
 func (s *store) remove(key string) {
--- a/review/standin-2/target.go
+++ b/review/standin-2/target.go
@@ -71,9 +71,10 @@
 		ConnState: func(c net.Conn, state http.ConnState) {
 			t.mu.Lock()
 			defer t.mu.Unlock()
-			if state == http.StateNew {
+			switch state {
+			case http.StateNew:
 				t.conns[c] = struct{}{}
-			} else if state == http.StateClosed {
+			case http.StateClosed:
 				delete(t.conns, c)
 			}
 		}}
