Answer 502 when a server fails a booking with a status that means "not run"

Cause: a response without the header that declares a refusal was forwarded with whatever status it had, also 408, 429 and 503, by which callers send again.

Change: for a request that may run only once such a response becomes 502 without the server's signature. Lookups get the response unchanged.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -64,9 +64,10 @@
 	for {
 		res := c.attemptWithHedge(ctx)
 		if res.err == nil {
-			c.log(event.GatewayAnswered, res.target, c.summary(res.resp.Status))
+			resp := c.forwardResponse(res.resp)
+			c.log(event.GatewayAnswered, res.target, c.summary(resp.Status))
 			c.countLate()
-			return c.forwardResponse(res.resp)
+			return resp
 		}
 		if !c.mayRetry(ctx, res) {
 			return c.giveUp(ctx, res)
@@ -205,12 +206,26 @@
 // ones could not be sent.
 const extraUnsentAttempts = 2
 
-// forwardResponse converts the response of a backend server to the response for the caller.
+// forwardResponse converts the response of a backend server to the response for the caller. A status that declares a
+// request as not run becomes 502 if the request may run only once: the server would have said so in its header, and the
+// caller would send the request again.
 func (c *call) forwardResponse(resp *backend.Response) *front.Response {
+	if !c.route.Idempotent && declaresNotRun(resp.Status) {
+		return localResponse(http.StatusBadGateway)
+	}
 	front.DropHopByHop(resp.Header)
 	return &front.Response{Status: resp.Status, Header: resp.Header, Body: resp.Body}
 }
 
+// declaresNotRun reports whether callers take a status as the statement that the request has not run and never will.
+func declaresNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // summary describes the end of a request for the log.
 func (c *call) summary(status int) string {
 	return fmt.Sprintf("status %d after %s, %d sent, objective %s", status,
