Get the evidence of crashing requests from other hosts at the start

Cause: evidence was pushed only to members that the sender took for new. A host that restarts takes over its record in the store, so no member list changed, and it asked nobody.

The restarted host has no event of evidence before its own first crash.

Change: a host that starts asks others, three at a time, until one that has caught up answers; requests wait for one call at most. A permit is refused where the request is known as quarantined, and replies tell the crashes. After a restart of all hosts the evidence still starts anew.

--- a/internal/event/catalogue_quarantine.go
+++ b/internal/event/catalogue_quarantine.go
@@ -12,6 +12,7 @@
 	QuarantineWave      ID = 1507
 	QuarantineDropped   ID = 1508
 	QuarantineQuiet     ID = 1509
+	QuarantineCaughtUp  ID = 1510
 )
 
 var _ = register(
@@ -25,4 +26,5 @@
 	Kind{QuarantineWave, "quarantine-wave", Warning, "so many backend servers went down within seconds that no single request is the cause; only crashes of requests that were in flight at several go to all hosts", "Look for a cause that the servers have in common."},
 	Kind{QuarantineDropped, "quarantine-dropped", Warning, "evidence about crashing requests was not sent, because the budget of messages was used up; hosts exchange it later", ""},
 	Kind{QuarantineQuiet, "quarantine-quiet", Info, "events about suspected requests were left out, because there were too many", ""},
+	Kind{QuarantineCaughtUp, "quarantine-caught-up", Info, "the host has the evidence about crashing requests that other hosts had when it started", ""},
 )
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -134,7 +134,6 @@
 	g.updateColdServers(v, time.Now())
 	g.pruneRemoved(old, v)
 	g.recordEvacuations(old, v)
-	g.startup.update(v)
 	counts := &hostCounts{total: len(v.Hosts), bySite: make(map[string]int)}
 	members := member.View{Self: g.cfg.ID}
 	for id, h := range v.Hosts {
@@ -147,6 +146,7 @@
 	g.retryBudgets.setHosts(hosts)
 	g.applyLimits(v, hosts)
 	g.quotas.update(v)
+	g.startup.update(v) // last, so that no request meets parts that don't know the hosts yet
 }
 
 // spareHosts is the number of hosts that may join at any time and open connections of their own.
--- a/internal/quarantine/config.go
+++ b/internal/quarantine/config.go
@@ -36,8 +36,12 @@
 	// permit. Each attempt may be a message.
 	permitRetryInterval    = 20 * time.Millisecond
 	maxPermitRetryInterval = 160 * time.Millisecond
-	// skipTime is how long a member that didn't answer gets no reports. Snapshots make up for what it misses.
+	// skipTime is how long a member that didn't answer gets no reports. A snapshot makes up for what it misses.
 	skipTime = 2 * time.Second
+	// resendInterval is the time between two snapshots to members that missed a report, resendFanout the number of these
+	// members that get it.
+	resendInterval = time.Second
+	resendFanout   = 4
 	// maxSnapshotSize is the maximum size of a snapshot in bytes.
 	maxSnapshotSize = 8 << 10
 	// maxSnapshotClearances is the maximum number of clearances in a snapshot.
--- a/internal/quarantine/handle.go
+++ b/internal/quarantine/handle.go
@@ -31,12 +31,15 @@
 	switch body := q.Body.(type) {
 	case *quarantinepb.Question_Report:
 		t.applyReport(body.Report)
-		return &quarantinepb.Reply{Body: &quarantinepb.Reply_Report{Report: &quarantinepb.ReportReply{}}}, nil
+		reply := &quarantinepb.ReportReply{Known: t.knownBeyond(body.Report)}
+		return &quarantinepb.Reply{Body: &quarantinepb.Reply_Report{Report: reply}}, nil
 	case *quarantinepb.Question_Acquire:
 		return &quarantinepb.Reply{Body: &quarantinepb.Reply_Acquire{Acquire: t.handleAcquire(body.Acquire)}}, nil
 	case *quarantinepb.Question_Release:
 		t.handleRelease(body.Release)
 		return &quarantinepb.Reply{Body: &quarantinepb.Reply_Release{Release: &quarantinepb.ReleaseReply{}}}, nil
+	case *quarantinepb.Question_Snapshot:
+		return &quarantinepb.Reply{Body: &quarantinepb.Reply_Snapshot{Snapshot: t.handleSnapshotRequest()}}, nil
 	}
 	return nil, &MessageError{Part: "question"}
 }
@@ -55,6 +58,43 @@
 	t.evaluateLocked()
 }
 
+// applyKnown merges the evidence that another host added to a reply. It may be nil.
+func (t *Tracker) applyKnown(m *quarantinepb.Report) {
+	if m != nil {
+		t.applyReport(m)
+	}
+}
+
+// knownBeyond returns all crashes of those requests of a report that are quarantined here, or nil if the report has as
+// many. The host that sent it may have restarted since it had the others.
+func (t *Tracker) knownBeyond(m *quarantinepb.Report) *quarantinepb.Report {
+	reported := map[Fingerprint]int{}
+	for _, c := range m.Crashes {
+		for _, fp := range c.Suspects {
+			reported[fingerprintFromProto(fp)]++
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var crashes []crashReport
+	for fp, n := range reported {
+		if t.evidence.entries[fp].State == Quarantined && t.evidence.crashCount(fp) > n {
+			crashes = append(crashes, t.evidence.crashesOf(fp)...)
+		}
+	}
+	return t.knownReportLocked(crashes)
+}
+
+// knownReportLocked returns the evidence to add to a reply, or nil if there is none.
+func (t *Tracker) knownReportLocked(crashes []crashReport) *quarantinepb.Report {
+	if len(crashes) == 0 {
+		return nil
+	}
+	report := reportToProto(crashes, nil, t.cfg.Clock.Now())
+	cutReport(report, maxHubReportSize)
+	return report
+}
+
 // applyClearance adds a clearance. One that this host got as a hub goes to all members if it has an effect.
 func (t *Tracker) applyClearance(c clearance, asHub bool, now time.Time) {
 	_, shared := t.evidence.entries[c.fp]
--- a/internal/quarantine/permit.go
+++ b/internal/quarantine/permit.go
@@ -20,8 +20,10 @@
 }
 
 // Acquire waits until the request may be sent: it is no longer suspected, or it holds the permit. It returns a
-// *RefusedError once the request is quarantined and a *NoPermitError if the context ends first.
+// *RefusedError once the request is quarantined, here or at the host that issues its permits, and a *NoPermitError if the
+// context ends first. On a host that has just started it first waits for the evidence of the others.
 func (t *Tracker) Acquire(ctx context.Context, fp Fingerprint) (Permit, error) {
+	t.awaitCatchUp(ctx)
 	p := Permit{tracker: t, fp: fp, serial: t.nextSerial()}
 	pause := permitRetryInterval
 	for {
@@ -30,13 +32,17 @@
 			return Permit{}, nil
 		}
 		if entry.State == Quarantined {
-			t.cfg.Events.Record(event.QuarantineRefused, event.Fields{Caller: fp.Caller, Service: fp.Service})
-			return Permit{}, &RefusedError{Entry: entry}
+			return Permit{}, t.refuse(fp)
 		}
 		p.owner = t.permitOwner(fp)
-		if t.requestPermit(ctx, p, t.cfg.Limits.PermitTTL) {
+		reply := t.requestPermit(ctx, p, t.cfg.Limits.PermitTTL)
+		if reply.GetGranted() {
 			return p, nil
 		}
+		t.applyKnown(reply.GetKnown())
+		if reply.GetQuarantined() {
+			return Permit{}, t.refuse(fp)
+		}
 		select {
 		case <-ctx.Done():
 			return Permit{}, &NoPermitError{Owner: p.owner, Cause: ctx.Err()}
@@ -46,6 +52,13 @@
 	}
 }
 
+// refuse returns the error for a quarantined request.
+func (t *Tracker) refuse(fp Fingerprint) error {
+	t.cfg.Events.Record(event.QuarantineRefused, event.Fields{Caller: fp.Caller, Service: fp.Service})
+	entry, _ := t.Check(fp)
+	return &RefusedError{Entry: entry}
+}
+
 // Release gives the permit back. If the request's connection broke, the permit is held for another
 // Limits.PermitLinger, within which a crash of the server becomes known.
 func (p Permit) Release(ctx context.Context, broken bool) {
@@ -65,8 +78,8 @@
 	_, _ = p.tracker.call(ctx, p.owner, q)
 }
 
-// requestPermit asks the permit's owner to grant or renew it and reports whether it did.
-func (t *Tracker) requestPermit(ctx context.Context, p Permit, lease time.Duration) bool {
+// requestPermit asks the permit's owner to grant or renew it and returns its reply, or nil if there is none.
+func (t *Tracker) requestPermit(ctx context.Context, p Permit, lease time.Duration) *quarantinepb.AcquireReply {
 	m := &quarantinepb.Acquire{
 		Fingerprint: fingerprintToProto(p.fp),
 		Holder:      t.cfg.Self,
@@ -74,11 +87,14 @@
 		Lease:       int64(lease),
 	}
 	if p.owner == t.cfg.Self {
-		return t.handleAcquire(m).Granted
+		return t.handleAcquire(m)
 	}
 	q := &quarantinepb.Question{Body: &quarantinepb.Question_Acquire{Acquire: m}}
 	reply, err := t.call(ctx, p.owner, q)
-	return err == nil && reply.GetAcquire().GetGranted()
+	if err != nil {
+		return nil
+	}
+	return reply.GetAcquire()
 }
 
 // permitOwner returns the id of the host that issues the permits of a request.
@@ -99,9 +115,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.cfg.Clock.Now()
+	fp := fingerprintFromProto(m.Fingerprint)
+	if e, found := t.evidence.get(fp, now); found && e.State == Quarantined {
+		return &quarantinepb.AcquireReply{Quarantined: true, Known: t.knownReportLocked(t.evidence.crashesOf(fp))}
+	}
 	lease := min(time.Duration(m.Lease), t.cfg.Limits.PermitTTL)
 	requested := permit{holder: m.Holder, serial: m.Permit, expiresAt: now.Add(lease)}
-	return &quarantinepb.AcquireReply{Granted: t.permits.acquire(fingerprintFromProto(m.Fingerprint), requested, now)}
+	return &quarantinepb.AcquireReply{Granted: t.permits.acquire(fp, requested, now)}
 }
 
 func (t *Tracker) handleRelease(m *quarantinepb.Release) {
--- a/internal/quarantine/replication.go
+++ b/internal/quarantine/replication.go
@@ -15,18 +15,30 @@
 // Run sends evidence to the other hosts until the context ends. It returns the context's error.
 func (t *Tracker) Run(ctx context.Context) error {
 	lastAntiEntropy := t.cfg.Clock.Now()
+	lastResend := lastAntiEntropy
 	urgent := t.flushNow
+	var background sync.WaitGroup
+	defer background.Wait()
+	t.startCatchUp()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-t.catchUp.due:
+			background.Go(func() { t.runCatchUp(ctx) })
+			continue
 		case <-urgent:
 			urgent = nil // at most one early flush per interval
 		case <-t.cfg.Clock.After(flushInterval):
 			urgent = t.flushNow
 		}
 		t.flush(ctx)
-		if now := t.cfg.Clock.Now(); now.Sub(lastAntiEntropy) >= antiEntropyInterval {
+		now := t.cfg.Clock.Now()
+		if now.Sub(lastResend) >= resendInterval {
+			lastResend = now
+			t.resendMissed(ctx)
+		}
+		if now.Sub(lastAntiEntropy) >= antiEntropyInterval {
 			lastAntiEntropy = now
 			t.expire(now)
 			t.sendSnapshotToRandomMember(ctx)
@@ -137,14 +149,21 @@
 		timeout = hubCallTimeout
 	}
 	q := &quarantinepb.Question{Body: &quarantinepb.Question_Report{Report: p.report}}
-	_, err := t.callWithin(ctx, timeout, id, q)
-	if err == nil || ctx.Err() != nil {
+	reply, err := t.callWithin(ctx, timeout, id, q)
+	if err == nil {
+		t.applyKnown(reply.GetReport().GetKnown())
+		return
+	}
+	if ctx.Err() != nil {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.cfg.Clock.Now()
 	t.skipUntil[id] = now.Add(skipTime)
+	if p.returned == nil {
+		t.missed[id] = true
+	}
 	t.events.record(event.QuarantineUntold, event.Fields{Peer: id, Detail: err.Error()}, now)
 	if p.returned != nil {
 		t.requeueLocked(p.returned)
@@ -152,6 +171,24 @@
 	}
 }
 
+// resendMissed sends a snapshot to members that a report didn't reach and that may answer again.
+func (t *Tracker) resendMissed(ctx context.Context) {
+	t.mu.Lock()
+	now := t.cfg.Clock.Now()
+	p := parcel{report: t.snapshotLocked(now)}
+	for id := range t.missed {
+		if now.Before(t.skipUntil[id]) || len(p.members) >= resendFanout {
+			continue
+		}
+		p.members = append(p.members, id)
+		delete(t.missed, id)
+	}
+	t.mu.Unlock()
+	if p.report != nil && len(p.members) > 0 {
+		t.spawn(func() { t.sendAll(ctx, p) })
+	}
+}
+
 func (t *Tracker) call(ctx context.Context, id string, q *quarantinepb.Question) (*quarantinepb.Reply, error) {
 	return t.callWithin(ctx, callTimeout, id, q)
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -33,7 +33,10 @@
 	// unshared holds the requests whose crashes were reported only to their hub, which is this host.
 	unshared map[Fingerprint]bool
 	// skipUntil holds the time until which nothing is sent to a member that didn't answer.
-	skipUntil  map[string]time.Time
+	skipUntil map[string]time.Time
+	// missed holds the members that a report to all didn't reach. They get a snapshot once they answer again.
+	missed     map[string]bool
+	catchUp    *catchUp
 	lastSerial uint64 // serial number of the latest permit request
 	// pendingDeliveries holds one channel per report in transit. The channel is closed after delivery.
 	pendingDeliveries []chan struct{}
@@ -58,6 +61,8 @@
 		wave:             newWaveDetector(cfg.Limits.CorrelationWindow),
 		unshared:         map[Fingerprint]bool{},
 		skipUntil:        map[string]time.Time{},
+		missed:           map[string]bool{},
+		catchUp:          newCatchUp(),
 		toAll:            newReportBudget(minToAllBurst),
 		toHubs:           newReportBudget(toHubsBurst),
 		hubs:             []string{cfg.Self},
@@ -88,6 +93,8 @@
 	t.toAll.resize(now, len(t.hubs), fleetMessagesToAllPerS, max(toAllBurst*len(members), minToAllBurst))
 	t.toHubs.resize(now, len(members)+1, fleetMessagesToHubsPerS, toHubsBurst)
 	maps.DeleteFunc(t.skipUntil, func(id string, _ time.Time) bool { return !slices.Contains(members, id) })
+	maps.DeleteFunc(t.missed, func(id string, _ bool) bool { return !slices.Contains(members, id) })
+	t.beginCatchUpLocked(now)
 }
 
 // Check returns the entry of a request and whether there is one. It must be called before a request is sent:
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -24,6 +24,7 @@
 type fleet struct {
 	clock *clock.Manual
 	hosts []*Tracker
+	cut   map[string]bool // hosts that don't answer
 }
 
 func (f *fleet) Open(context.Context, string, peer.Method) (peer.Stream, error) {
@@ -35,6 +36,9 @@
 	if err != nil {
 		return err
 	}
+	if f.cut[id] {
+		return errUnreachable
+	}
 	reply, err := f.hosts[i].handleQuestion(proto.Clone(req).(*quarantinepb.Question))
 	if err != nil {
 		return err
