End an exchange at a response with a status that HTTP does not know

Here the request waited for its deadline behind such a response, and what followed it was read as the answer, also the body of that very response. Statuses from 600 on were passed on.

Cause: http.ReadResponse accepts any three digits, and every status below 200 was skipped like an interim response.

Change: the status is checked as soon as it has arrived, before the rest of the head. Outside of 100 to 599 the exchange ends as a malformed response and the connection is closed; the request counts as one that may have run.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -159,6 +159,9 @@
 	c.received.limitHead(c.pool.client.cfg.MaxHeaderBytes)
 	defer c.received.limitHead(-1)
 	for {
+		if hasUnknownStatus(c.reader) {
+			return nil, ErrUnknownStatus
+		}
 		if hasConflictingFraming(c.reader) {
 			return nil, ErrConflictingFraming
 		}
--- a/internal/backend/errors.go
+++ b/internal/backend/errors.go
@@ -78,6 +78,8 @@
 	ErrHeaderTooLarge     ConstError = "answer's header exceeds the size limit"
 	ErrBuffersFull        ConstError = "buffers for answers are full"
 	ErrNoLength           ConstError = "neither Content-Length nor chunked coding"
+	// ErrUnknownStatus means that the status is not one of HTTP, which has the classes 1 to 5.
+	ErrUnknownStatus      ConstError = "unknown status"
 	ErrSwitchingProtocols ConstError = "unexpected 101 Switching Protocols"
 	ErrUnsolicitedData    ConstError = "bytes arrived while no request was in flight"
 	ErrClientClosed       ConstError = "client is closed"
