Tell the requests of two workspaces apart as causes of crashes

Cause: the fingerprint of a request left out its caller, so that each answer to the other workspace cleared the evidence.

Change: the fingerprint has the name of the workspace. Different keys of one workspace give the same one; on public routes there is no caller to name.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -239,7 +239,7 @@
 	}
 	front.DropHopByHop(c.header)
 	c.setWorkspace(v.Routes)
-	c.fingerprint = quarantine.NewFingerprint("", service.Name, r.Method, r.URI, r.Body)
+	c.fingerprint = quarantine.NewFingerprint(c.scope().CallerName(), service.Name, r.Method, r.URI, r.Body)
 	return c, nil
 }
 
--- a/internal/gateway/identity_test.go
+++ b/internal/gateway/identity_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/bilberryline/bilberryline/internal/quarantine"
 	"github.com/bilberryline/bilberryline/internal/registry"
 	"github.com/bilberryline/bilberryline/internal/routing"
 )
@@ -154,3 +155,30 @@
 	is.True(len(*received) > 0)
 	is.Equal(received.Get("Key")+received.Get("Workspace"), "")
 }
+
+// Answers to another workspace's request with the same path and body cleared the evidence against a request that crashed
+// servers, so that it was never refused (review/7).
+func TestRequestsOfTwoWorkspacesAreToldApart(t *testing.T) {
+	is := is.New(t)
+	c, _ := workspaceCall(t)
+	v := *c.g.fleet.load().view
+	routes := []*routing.Route{
+		{Name: "r", Host: "h", Prefix: "/", Timeout: time.Minute, Split: []routing.WeightedService{{Service: "shop", Weight: 1}}},
+		{Name: "p", Host: "h", Prefix: "/public/", Public: true, Timeout: time.Minute, Split: []routing.WeightedService{{Service: "shop", Weight: 1}}},
+	}
+	v.Routes = routing.NewTable(2, routes, []*routing.Service{c.service}, []*routing.Workspace{
+		{Name: "w", Keys: []string{"k1", "k2"}}, {Name: "other", Keys: []string{"k3"}},
+	}, routing.Limits{})
+	c.g.fleet.update(&v)
+	fingerprint := func(path, key string) quarantine.Fingerprint {
+		c.req.Path, c.req.URI = path, path
+		c.req.Header.Set("Key", key)
+		admitted, refused := c.g.admit(c.req)
+		is.Equal(refused, nil)
+		return admitted.fingerprint
+	}
+	own := fingerprint("/", "k1")
+	is.Equal(fingerprint("/", "k2"), own) // another key of the same workspace
+	is.True(fingerprint("/", "k3") != own)
+	is.Equal(fingerprint("/public/x", "k1"), fingerprint("/public/x", "k3")) // the server isn't told the workspace
+}
