Hold requests for 50 ms at most while a host catches up with crash evidence

After a restart of all hosts, callers came back before the others had started and waited for up to 0.3 s for evidence that nobody had.

Cause: requests waited until a host that had caught up answered, or one call to another host had timed out.

Change: requests wait until the first members asked have answered or failed, for 50 ms at most. The questions go on without them.

--- a/internal/quarantine/catch_up.go
+++ b/internal/quarantine/catch_up.go
@@ -17,6 +17,9 @@
 	catchUpFanout = 3
 	// maxCatchUpRounds is the number of times that it asks further members, if none of the earlier ones had caught up.
 	maxCatchUpRounds = 4
+	// catchUpHold is the time for which requests wait for the first answers. It is a few round trips between regions; when
+	// all hosts have restarted, nobody has anything to tell.
+	catchUpHold = 50 * time.Millisecond
 	// catchUpPause is the pause between two rounds. After a restart of many hosts, most are not up yet at the first.
 	catchUpPause = 100 * time.Millisecond
 )
@@ -26,7 +29,10 @@
 type catchUp struct {
 	due    chan struct{} // triggers the questions
 	done   chan struct{} // closed when they have ended
-	active atomic.Bool   // set in between; lets Acquire skip the lock
+	// holding is set until the first members asked have answered or failed; it lets Acquire skip the lock. held is closed
+	// then.
+	holding atomic.Bool
+	held    chan struct{}
 
 	// The following fields are guarded by Tracker.mu.
 	running  bool
@@ -34,7 +40,7 @@
 	holdTill time.Time // requests are held until then at most
 }
 
-func newCatchUp() *catchUp { return &catchUp{due: make(chan struct{}, 1), done: make(chan struct{})} }
+func newCatchUp() *catchUp { return &catchUp{due: make(chan struct{}, 1), done: make(chan struct{}), held: make(chan struct{})} }
 
 // startCatchUp lets the host catch up as soon as it knows another member.
 func (t *Tracker) startCatchUp() {
@@ -49,14 +55,14 @@
 	if !c.running || c.begun || len(t.members) == 0 {
 		return
 	}
-	c.begun, c.holdTill = true, now.Add(callTimeout)
-	c.active.Store(true)
+	c.begun, c.holdTill = true, now.Add(catchUpHold)
+	c.holding.Store(true)
 	c.due <- struct{}{}
 }
 
-// awaitCatchUp waits until the host has caught up, for as long as one call to another member may take.
+// awaitCatchUp waits until the first members asked have answered, for catchUpHold at most.
 func (t *Tracker) awaitCatchUp(ctx context.Context) {
-	if !t.catchUp.active.Load() {
+	if !t.catchUp.holding.Load() {
 		return
 	}
 	t.mu.Lock()
@@ -66,7 +72,7 @@
 		return
 	}
 	select {
-	case <-t.catchUp.done:
+	case <-t.catchUp.held:
 	case <-ctx.Done():
 	case <-t.cfg.Clock.After(left):
 	}
@@ -75,15 +81,17 @@
 // runCatchUp asks other members for their evidence until one that has caught up itself has answered. If none does, the
 // host has what there is.
 func (t *Tracker) runCatchUp(ctx context.Context) {
-	defer func() {
-		t.catchUp.active.Store(false)
-		close(t.catchUp.done)
-	}()
+	defer close(t.catchUp.done)
 	var asked []string
-	for range maxCatchUpRounds {
+	for round := range maxCatchUpRounds {
 		members := t.unaskedMembers(asked)
 		asked = append(asked, members...)
-		if len(members) == 0 || t.askForEvidence(ctx, members) {
+		caughtUp := len(members) == 0 || t.askForEvidence(ctx, members)
+		if round == 0 {
+			t.catchUp.holding.Store(false)
+			close(t.catchUp.held)
+		}
+		if caughtUp {
 			break
 		}
 		select {
