Keep a lookup at a silent server until another server takes it

Cause: an exchange was cancelled when its server had missed three probes, and only then another server was looked for. A busy server on a noisy machine misses probes, and in a shortage no other server was found.

Change: the request is placed again beside the exchange, as part of the race that sends hedges; the first response is used. It is tried again after a pause that doubles while no server takes it. An exchange with a server that is down says nothing about latencies when it loses.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -21,21 +21,20 @@
 // call is the processing of one request of a caller. It uses the configuration that was in force when the
 // request was admitted.
 type call struct {
-	g              *Gateway
-	req            *front.Request
-	id             string // request ID sent by the caller
-	version        uint64 // version of the configuration
-	route          *routing.Route
-	service        *routing.Service
-	workspace      *routing.Workspace // workspace of the caller, or nil
-	deadline       time.Time
-	header         http.Header
-	outcome        *outcome.Request
-	fingerprint    quarantine.Fingerprint
-	charged        bool                         // the workspace was charged
-	sendCount      atomic.Int32                 // attempts of which a server may have received bytes
-	inForce        atomic.Pointer[scopeInForce] // see currentScope
-	resendReserved atomic.Bool                  // the retry budget was already charged for the next send
+	g           *Gateway
+	req         *front.Request
+	id          string // request ID sent by the caller
+	version     uint64 // version of the configuration
+	route       *routing.Route
+	service     *routing.Service
+	workspace   *routing.Workspace // workspace of the caller, or nil
+	deadline    time.Time
+	header      http.Header
+	outcome     *outcome.Request
+	fingerprint quarantine.Fingerprint
+	charged     bool                         // the workspace was charged
+	sendCount   atomic.Int32                 // attempts of which a server may have received bytes
+	inForce     atomic.Pointer[scopeInForce] // see currentScope
 
 	mu      sync.Mutex
 	tried   []string // IDs of the servers chosen by earlier attempts, without those found changed before the send
@@ -167,16 +166,6 @@
 // sendsLeft returns how many more times the request may be sent.
 func (c *call) sendsLeft() int { return c.route.MaxAttempts - int(c.sendCount.Load()) }
 
-// reserveFailover reports whether a request in flight at a server that is down may be sent to another one. If so,
-// it charges the retry budget for that send.
-func (c *call) reserveFailover() bool {
-	if c.sendsLeft() < 1 || time.Until(c.g.stop.limit(c.deadline)) < c.unloadedLatency() || !c.g.retryBudgets.spendRetry(c.service.Name, time.Now()) {
-		return false
-	}
-	c.resendReserved.Store(true)
-	return true
-}
-
 // mayRetry reports whether another attempt may follow. The retry budget is charged only if the request was sent
 // before.
 func (c *call) mayRetry(ctx context.Context, res attemptResult) bool {
@@ -199,7 +188,7 @@
 	if c.sendCount.Load() == 0 {
 		return true
 	}
-	return c.sendsLeft() > 0 && (c.resendReserved.Swap(false) || c.g.retryBudgets.spendRetry(c.service.Name, time.Now()))
+	return c.sendsLeft() > 0 && c.g.retryBudgets.spendRetry(c.service.Name, time.Now())
 }
 
 // extraUnsentAttempts is the number of attempts beyond the route's MaxAttempts that are allowed when earlier
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -18,12 +18,6 @@
 	var sent *inFlightRequest
 	ctx, cancel := c.exchangeContext(callerCtx)
 	defer cancel(nil)
-	if c.route.Idempotent && c.sendsLeft() > 1 {
-		// The retry budget is charged when the server goes down, since the exchange is cancelled only if the
-		// request may be sent again.
-		stop := watchDown(ctx, s, c.reserveFailover, func() { cancel(ErrServerDown) })
-		defer stop()
-	}
 	resp, err := c.g.client.Do(ctx, s.target.Address, &backend.Request{
 		Method:               c.req.Method,
 		URI:                  c.req.URI,
--- a/internal/gateway/feedback.go
+++ b/internal/gateway/feedback.go
@@ -48,7 +48,7 @@
 		c.g.logFault(s, c.id, err)
 		return
 	}
-	if errors.Is(context.Cause(ctx), ErrOtherAttemptWon) {
+	if errors.Is(context.Cause(ctx), ErrOtherAttemptWon) && !s.isDown() {
 		c.recordLosingAttempt(s, sent, now)
 		return
 	}
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -20,26 +20,31 @@
 )
 
 // hedgeRace runs an attempt of an idempotent request and, if that takes long, a concurrent second attempt, the hedge
-// (Dean and Barroso, "The tail at scale", 2013).
+// (Dean and Barroso, "The tail at scale", 2013). While all attempts are at servers that are down, it fails over to another
+// one; they go on, since a server that is short of time misses probes as well, and the first response is used.
 type hedgeRace struct {
 	call    *call
-	results chan raceResult
-	running int             // number of attempts in progress
-	sent    chan choice     // receives the first attempt's choice when it is sent
-	missing <-chan struct{} // closed when the first attempt's server no longer has the request
+	results chan *raceAttempt
+	sent    chan *raceAttempt         // receives an attempt when it is sent
+	down    chan *raceAttempt         // receives a sent attempt when its server goes down
+	running map[*raceAttempt]struct{} // attempts in progress
+	missing <-chan struct{}           // closed when the first attempt's server no longer has the request
+	due     <-chan time.Time          // receives when a further attempt is due
 	pause   time.Duration
 }
 
-// raceResult is the result of one of the two attempts.
-type raceResult struct {
-	attemptResult
-	isHedge bool
+// raceAttempt is an attempt in a hedgeRace.
+type raceAttempt struct {
+	isFirst bool
+	chosen  choice // set when it is sent
+	isDown  bool   // the server went down
+	result  attemptResult
 }
 
-// neverStarted reports whether the attempt is a hedge for which no server was chosen.
-func (r raceResult) neverStarted() bool {
+// neverStarted reports whether the attempt is a further one for which no server was chosen.
+func (a *raceAttempt) neverStarted() bool {
 	var noServer *NoServerError
-	return r.isHedge && (errors.Is(r.err, ErrHedgeBudgetExhausted) || errors.As(r.err, &noServer))
+	return !a.isFirst && (errors.Is(a.result.err, ErrHedgeBudgetExhausted) || errors.As(a.result.err, &noServer))
 }
 
 // attemptWithHedge makes one attempt. If an idempotent request takes much longer than expected, it is hedged: sent to
@@ -52,60 +57,114 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(ErrOtherAttemptWon)
-	r := &hedgeRace{call: c, results: make(chan raceResult, 2), sent: make(chan choice, 1), pause: hedgeRetryDelay}
-	opts.onSend = func(chosen choice) { r.sent <- chosen }
-	r.start(ctx, opts, false)
+	r := newHedgeRace(c)
+	r.start(ctx, &raceAttempt{isFirst: true}, opts)
 	return r.wait(ctx)
 }
 
-func (r *hedgeRace) start(ctx context.Context, opts attemptOptions, isHedge bool) {
-	r.running++
+func newHedgeRace(c *call) *hedgeRace {
+	sends := c.sendsLeft()
+	return &hedgeRace{
+		call: c, running: make(map[*raceAttempt]struct{}), pause: hedgeRetryDelay,
+		results: make(chan *raceAttempt, sends+1), sent: make(chan *raceAttempt, sends), down: make(chan *raceAttempt, sends),
+	}
+}
+
+func (r *hedgeRace) start(ctx context.Context, a *raceAttempt, opts attemptOptions) {
+	r.running[a] = struct{}{}
+	onSend := opts.onSend
+	opts.onSend = func(chosen choice) {
+		if onSend != nil {
+			onSend(chosen)
+		}
+		a.chosen = chosen
+		r.sent <- a
+	}
 	r.call.g.background.Go(func() {
-		var res attemptResult
-		if err := panics.Catch(func() { res = r.call.attempt(ctx, opts) }); err != nil {
+		if err := panics.Catch(func() { a.result = r.call.attempt(ctx, opts) }); err != nil {
 			r.call.g.recordPanic(r.call.id, err)
-			res.err = err
+			a.result.err = err
 		}
-		r.results <- raceResult{res, isHedge}
+		r.results <- a
 	})
 }
 
 // wait returns the first successful result, or the last failure if no attempt succeeds.
 func (r *hedgeRace) wait(ctx context.Context) attemptResult {
-	var due <-chan time.Time
 	var failed attemptResult
 	for {
 		select {
-		case chosen := <-r.sent:
-			due = time.After(r.call.hedgeDelay(chosen))
-			r.missing = chosen.sent.missing
+		case a := <-r.sent:
+			r.observeSend(ctx, a)
 		case <-r.missing:
 			r.missing = nil
-			due = time.After(missingGrace)
-		case <-due:
-			due, r.missing = nil, nil // at most one hedge is in progress
-			if r.call.mayHedge() {
-				r.start(ctx, attemptOptions{place: r.call.placeHedge, onSend: r.call.logHedge}, true)
+			r.due = time.After(missingGrace)
+		case a := <-r.down:
+			a.isDown = true
+			if r.allDown() {
+				r.startNext(ctx)
 			}
-		case res := <-r.results:
-			r.running--
-			if res.err == nil {
-				return res.attemptResult
+		case <-r.due:
+			r.startNext(ctx)
+		case a := <-r.results:
+			delete(r.running, a)
+			if a.result.err == nil {
+				return a.result
 			}
-			if !res.neverStarted() {
-				failed = res.attemptResult
+			if !a.neverStarted() {
+				failed = a.result
 			}
-			if r.running == 0 {
+			if len(r.running) == 0 {
 				return failed
 			}
-			if res.neverStarted() {
-				due = time.After(r.pause)
+			if a.neverStarted() || r.allDown() {
+				r.due = time.After(r.pause)
 				r.pause *= 2
 			}
 		}
 	}
 }
 
+// observeSend watches the server of an attempt that was sent. The hedge of the first one is due some time later.
+func (r *hedgeRace) observeSend(ctx context.Context, a *raceAttempt) {
+	if a.isFirst {
+		r.due = time.After(r.call.hedgeDelay(a.chosen))
+		r.missing = a.chosen.sent.missing
+	}
+	down := a.chosen.server.downSignal()
+	r.call.g.background.Go(func() {
+		select {
+		case <-down:
+			r.down <- a
+		case <-ctx.Done():
+		}
+	})
+}
+
+// allDown reports whether all attempts in progress are at servers that are down.
+func (r *hedgeRace) allDown() bool {
+	for a := range r.running {
+		if !a.isDown {
+			return false
+		}
+	}
+	return true
+}
+
+// startNext starts a further attempt if it is allowed: a failover if all servers are down, or else a hedge if none was
+// sent yet.
+func (r *hedgeRace) startNext(ctx context.Context) {
+	r.due, r.missing = nil, nil
+	c := r.call
+	switch {
+	case !c.mayHedge():
+	case r.allDown():
+		r.start(ctx, &raceAttempt{}, attemptOptions{place: c.placeFailover, onSend: c.logFailover})
+	case len(r.running) == 1:
+		r.start(ctx, &raceAttempt{}, attemptOptions{place: c.placeHedge, onSend: c.logHedge})
+	}
+}
+
 // hedgeDelay returns the time from the send of a request to its hedge. The hedge waits until the request takes longer
 // than most do, and at least until the last moment at which a hedge still meets the objective.
 func (c *call) hedgeDelay(chosen choice) time.Duration {
@@ -125,3 +184,9 @@
 	c.log(event.GatewayHedged, chosen.server.target.ID, fmt.Sprintf("unanswered %s after it was received",
 		time.Since(c.req.ReceivedAt).Round(time.Millisecond)))
 }
+
+// logFailover counts and logs the send to another server while the first one is down.
+func (c *call) logFailover(chosen choice) {
+	c.g.metrics.retries.WithLabelValues(c.service.Name).Inc()
+	c.log(event.GatewayResent, chosen.server.target.ID, ErrServerDown.Error())
+}
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -153,6 +153,16 @@
 	return best, nil
 }
 
+// placeFailover chooses the server for another attempt of a request whose server is down. It waits for one like any other
+// attempt, and charges the retry budget once it has one.
+func (c *call) placeFailover(ctx context.Context) (choice, error) {
+	chosen, err := c.place(ctx)
+	if err == nil && !c.g.retryBudgets.spendRetry(c.service.Name, time.Now()) {
+		return choice{}, ErrHedgeBudgetExhausted
+	}
+	return chosen, err
+}
+
 // searchTerms are the terms on which a request takes a server.
 type searchTerms struct {
 	waited   time.Duration // how long the request has waited
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -200,6 +200,13 @@
 	}
 }
 
+// isDown reports whether the server is considered down.
+func (s *server) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failures >= downAfterFailures
+}
+
 // downSignal returns a channel that is closed when the server is considered down.
 func (s *server) downSignal() <-chan struct{} {
 	s.mu.Lock()
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -296,13 +297,21 @@
 	c := p.call(t, true)
 	c.route.MaxAttempts = 4
 	missing := make(chan struct{})
-	r := &hedgeRace{call: c, results: make(chan raceResult, 2), sent: make(chan choice, 1), pause: hedgeRetryDelay}
-	r.running = 1
-	r.sent <- choice{sent: &inFlightRequest{silenceState: silenceState{missing: missing}}, expected: time.Millisecond}
+	r := newHedgeRace(c)
+	first := &raceAttempt{isFirst: true, chosen: choice{
+		server: testServer(), sent: &inFlightRequest{silenceState: silenceState{missing: missing}}, expected: time.Millisecond,
+	}}
+	r.running[first] = struct{}{}
+	r.sent <- first
 	c.req.ReceivedAt = time.Now().Add(-time.Minute) // the hedge is due at once
 	time.AfterFunc(50*time.Millisecond, func() { close(missing) })
-	time.AfterFunc(500*time.Millisecond, func() { r.results <- raceResult{attemptResult: attemptResult{err: ErrStopping}} })
-	r.wait(t.Context())
+	time.AfterFunc(500*time.Millisecond, func() {
+		first.result.err = ErrStopping
+		r.results <- first
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	r.wait(ctx)
+	cancel()
 	c.g.background.Wait()
 	is.True(p.requests.Load() <= 1)
 }
