Keep a server's pause when its registration ends and comes back

Cause: a server that registers again is a new record of the host, and only the notice of leaving was kept by incarnation.

Change: pauses are remembered by incarnation like leaving, and a notice that arrives after the server has registered again applies to its new record.

Result: go test -race ./internal/gateway, the tests of notices: pass.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -12,9 +12,16 @@
 // fleet holds the registered backend servers and their state. Readers use an immutable snapshot, which update
 // replaces.
 type fleet struct {
-	mu       sync.Mutex // serializes updates; guards left
+	mu       sync.Mutex // serializes updates; guards notices
 	snapshot atomic.Pointer[fleetSnapshot]
-	left     map[incarnation]time.Time // when servers said that they are leaving
+	notices  map[incarnation]rememberedNotice
+}
+
+// rememberedNotice is what a server has said about new requests, in case its registration ends and comes back.
+type rememberedNotice struct {
+	at           time.Time // of the latest notice
+	leaving      bool
+	backoffUntil time.Time
 }
 
 // incarnation identifies a start of a backend server.
@@ -23,8 +30,8 @@
 	started     int64 // Unix time in milliseconds
 }
 
-// leftRetention is how long it is remembered that a server is leaving, in case its registration comes back.
-const leftRetention = 10 * time.Minute
+// noticeRetention is how long a notice is remembered in case the server's registration comes back. No pause is longer.
+const noticeRetention = maxServerBackoff
 
 type fleetSnapshot struct {
 	view      *registry.View
@@ -33,7 +40,7 @@
 }
 
 func newFleet() *fleet {
-	f := &fleet{left: make(map[incarnation]time.Time)}
+	f := &fleet{notices: make(map[incarnation]rememberedNotice)}
 	f.snapshot.Store(&fleetSnapshot{view: &registry.View{}})
 	return f
 }
@@ -54,7 +61,7 @@
 			s := old.byID[t.ID]
 			if s == nil || !sameIncarnation(s.target, t) {
 				s = newServer(t)
-				_, s.notice.leaving = f.left[incarnationOf(t)]
+				f.notices[incarnationOf(t)].applyTo(s)
 			}
 			next.byID[t.ID] = s
 			next.byService[service] = append(next.byService[service], s)
@@ -66,14 +73,44 @@
 // rememberLeaving records that a server is leaving. A registration of the same incarnation that ends and comes back, as
 // after an outage of the store, doesn't bring the server back.
 func (f *fleet) rememberLeaving(t *registry.Target) {
+	f.remember(t, func(n *rememberedNotice) { n.leaving = true })
+}
+
+// rememberBackoff records until when a server wants no requests. A registration of the same incarnation that ends and comes
+// back doesn't end the pause.
+func (f *fleet) rememberBackoff(t *registry.Target, until time.Time) {
+	f.remember(t, func(n *rememberedNotice) {
+		if until.After(n.backoffUntil) {
+			n.backoffUntil = until
+		}
+	})
+}
+
+func (f *fleet) remember(t *registry.Target, add func(n *rememberedNotice)) {
 	if t.Started.IsZero() {
 		return // the next incarnation would look the same
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	maps.DeleteFunc(f.left, func(_ incarnation, at time.Time) bool { return now.Sub(at) > leftRetention })
-	f.left[incarnationOf(t)] = now
+	maps.DeleteFunc(f.notices, func(_ incarnation, n rememberedNotice) bool { return now.Sub(n.at) > noticeRetention })
+	n := f.notices[incarnationOf(t)]
+	n.at = now
+	add(&n)
+	f.notices[incarnationOf(t)] = n
+	if s := f.load().byID[t.ID]; s != nil && sameIncarnation(s.target, t) {
+		n.applyTo(s) // registered again before this response arrived
+	}
+}
+
+// applyTo makes a server go by the notice.
+func (n rememberedNotice) applyTo(s *server) {
+	if n.leaving {
+		s.markLeaving()
+	}
+	if time.Now().Before(n.backoffUntil) {
+		s.backOff(n.backoffUntil)
+	}
 }
 
 func incarnationOf(t *registry.Target) incarnation {
--- a/internal/gateway/server_notice.go
+++ b/internal/gateway/server_notice.go
@@ -40,7 +40,9 @@
 	if pause <= 0 {
 		return
 	}
-	s.backOff(time.Now().Add(pause))
+	until := time.Now().Add(pause)
+	s.backOff(until)
+	g.fleet.rememberBackoff(s.target, until)
 	g.metrics.backoffs.WithLabelValues(s.target.Service).Inc()
 	g.cfg.Events.Record(event.GatewayBackoff, event.Fields{Request: request, Service: s.target.Service, Target: s.target.ID, Detail: pause.String()})
 }
--- a/internal/gateway/server_notice_test.go
+++ b/internal/gateway/server_notice_test.go
@@ -254,3 +254,33 @@
 	is.True(c.retryAfter(&NoServerError{FreeIn: 100 * time.Millisecond}) >= 100*time.Millisecond)
 	is.True(c.retryAfter(&NoServerError{FreeIn: 100 * time.Millisecond}) <= 150*time.Millisecond)
 }
+
+// The entry of a server that asked for a pause may end and come back, as when it is cut off from the store. The pause was
+// forgotten with it (second review).
+func TestPauseHoldsForTheIncarnation(t *testing.T) {
+	is := is.New(t)
+	c, _ := noticeCall(t, "10.0.0.1:80")
+	f := c.g.fleet
+	register := func(started int64) *server {
+		f.update(&registry.View{Targets: map[string][]*registry.Target{}})
+		f.update(&registry.View{Targets: map[string][]*registry.Target{"shop": {
+			{ID: "t1", Service: "shop", Address: "10.0.0.1:80", Site: "a", Slots: 2, Started: time.UnixMilli(started)},
+		}}})
+		return f.load().byID["t1"]
+	}
+	now := time.Now()
+	c.g.observeNotice(register(7), "r1", http.StatusServiceUnavailable, http.Header{"Retry-After": {"60"}})
+	again := register(7)
+	is.True(!again.probeable(now))
+	until, away := again.turnsAway(now)
+	is.True(away)
+	is.True(until.After(now.Add(59 * time.Second)))
+	is.True(again.notice.probation) // one request at a time afterwards
+
+	before := register(9)
+	current := register(9)
+	c.g.observeNotice(before, "r2", http.StatusServiceUnavailable, http.Header{"Retry-After": {"60"}})
+	is.True(!current.probeable(now)) // the response arrived after the server had been registered again
+	is.True(register(8).probeable(now))
+	is.True(!register(7).probeable(now)) // as a late view of the registry may say
+}
