Refuse a workspace for its demand at one data centre only if it is above the limit

Cause: without the answers of all data centres, 429 is sent if the demand at the own one exceeds rate and burst. That demand was extrapolated to a second from an average over 300 ms, so that two requests within 30 ms were enough.

TestRequestsWithinTheLimitDoNotExceedIt fails on the code before with a single request (rate 1, burst 1).

Change: a leaky bucket of the data centre's requests decides; they must exceed the capacity of the whole fleet's bucket.

--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -9,6 +9,7 @@
 	ownAt   time.Time
 	gifts   []gift // tokens from other data centres, oldest first
 	demand  demand
+	backlog backlog
 	usedAt  time.Time
 	unmet   float64 // tokens that waiting requests lack
 	unmetAt time.Time
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -131,6 +131,7 @@
 func (c *Coordinator) Acquire(workspace string, q Quota, need, want, arrivals int, now time.Time) (granted int) {
 	b := c.bucket(workspace, q, now)
 	b.demand.add(float64(arrivals), now)
+	b.backlog.add(float64(arrivals), q, c.bounds.capacity(q), now)
 	whole := int(math.Floor(b.available() + tokenEpsilon))
 	granted = min(need, whole)
 	if ahead := min(want-need, int(aheadShare*float64(whole-need))); ahead > 0 {
@@ -188,9 +189,10 @@
 // Workspaces returns the names of the workspaces that are in use.
 func (c *Coordinator) Workspaces() []string { return slices.Collect(maps.Keys(c.buckets)) }
 
-// Exceeds reports whether the demand of a second at this data centre alone is above the workspace's rate and burst.
+// Exceeds reports whether the requests at this data centre alone would have used up the tokens of the whole fleet. A few
+// requests at the same moment don't: they say little about the demand of a second.
 func (c *Coordinator) Exceeds(workspace string, q Quota, now time.Time) bool {
-	return c.bucket(workspace, q, now).demand.expected(time.Second, now) > q.Rate+q.Burst
+	return c.bucket(workspace, q, now).backlog.leaked(q, now) > c.bounds.capacity(q)
 }
 
 // RetryIn estimates when the workspace has a token again.
--- a/internal/quota/pure_test.go
+++ b/internal/quota/pure_test.go
@@ -171,3 +171,39 @@
 	}
 	is.Equal(waits, 1)
 }
+
+// Two requests within 30 ms of a workspace of two a second counted as more than it may send in a second, so that it was
+// refused although nobody knew what other data centres had left.
+func TestRequestsWithinTheLimitDoNotExceedIt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := Quota{Rate: rapid.Float64Range(0.5, 300).Draw(t, "rate"), Burst: rapid.Float64Range(1, 300).Draw(t, "burst")}
+		c, now := NewCoordinator(testBounds), testStart
+		var exact staticBucket
+		for range rapid.IntRange(1, 200).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.Float64Range(0, 2).Draw(t, "pause") / q.Rate * float64(time.Second)))
+			if !exact.take(q.Rate, q.Burst, now) {
+				continue
+			}
+			c.Acquire("w", q, 1, 1, 1, now)
+			if c.Exceeds("w", q, now) {
+				t.Fatal("the requests are within the limit")
+			}
+		}
+	})
+}
+
+// A flood at one data centre is refused as such although other data centres can't be asked, and for as long as it lasts.
+func TestFloodAtOneDataCentreExceedsTheLimit(t *testing.T) {
+	is := is.New(t)
+	c, q, now := NewCoordinator(testBounds), Quota{250, 250}, testStart
+	flood := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); now = now.Add(time.Millisecond) {
+			c.Acquire("w", q, 1, 1, 1, now) // a thousand a second
+		}
+	}
+	flood(time.Second)
+	is.True(c.Exceeds("w", q, now))
+	flood(time.Minute)
+	is.True(c.Exceeds("w", q, now))
+	is.True(!c.Exceeds("w", q, now.Add(time.Second+time.Millisecond))) // after its end
+}
