--- a/internal/registry/register.go
+++ b/internal/registry/register.go
@@ -31,10 +31,10 @@
 	for ctx.Err() == nil {
 		pause := registrationCheckInterval
 		if latest := r.latestEra(); latest > era {
-			if !lastRenewal.IsZero() {
-				_ = r.sleep(ctx, rand.N(reregistrationSpread)) // the leases of all hosts end at the same time
-			}
 			era = latest
+			if r.leaseIsOfEarlierEra() { // as those of all other hosts
+				_ = r.sleep(ctx, rand.N(reregistrationSpread))
+			}
 		}
 		if r.currentLease().ID == 0 || r.cfg.Clock.Now().Sub(lastRenewal) >= renewInterval {
 			lastRenewal = r.cfg.Clock.Now()
@@ -103,6 +103,13 @@
 	return r.lease
 }
 
+// leaseIsOfEarlierEra reports whether the host had a lease that doesn't count any more because the store's era has changed.
+func (r *Registry) leaseIsOfEarlierEra() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lease.ID != 0 && r.lease.Era < r.era
+}
+
 func (r *Registry) setLease(l Lease) {
 	r.mu.Lock()
 	r.lease, r.era = l, max(r.era, l.Era)
