--- a/internal/quarantine/catch_up.go
+++ b/internal/quarantine/catch_up.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -118,9 +117,8 @@
 // first such reply.
 func (t *Tracker) askForEvidence(ctx context.Context, members []string) bool {
 	replies := make(chan *quarantinepb.SnapshotReply, len(members))
-	var calls sync.WaitGroup
 	for _, id := range members {
-		calls.Go(func() {
+		go func() {
 			q := &quarantinepb.Question{Body: &quarantinepb.Question_Snapshot{Snapshot: &quarantinepb.SnapshotRequest{}}}
 			reply, err := t.call(ctx, id, q)
 			if err != nil {
@@ -129,7 +127,7 @@
 			}
 			t.applyKnown(reply.GetSnapshot().GetReport())
 			replies <- reply.GetSnapshot()
-		})
+		}()
 	}
 	for range members {
 		if (<-replies).GetCaughtUp() {
