--- a/internal/registry/restore_cost_test.go
+++ b/internal/registry/restore_cost_test.go
@@ -8,24 +8,29 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 )
 
 // All hosts that read the store again at once would take it down. Few of them do, and the others get one full update each.
-// BILBERRY_RESTORE_HOSTS sets the number of hosts.
+// BILBERRY_RESTORE_HOSTS and BILBERRY_RESTORE_TARGETS set the numbers of hosts and targets.
 func TestRestoreCostsFewCalls(t *testing.T) {
 	is := is.New(t)
-	hosts := 40
-	if text := os.Getenv("BILBERRY_RESTORE_HOSTS"); text != "" {
-		var err error
-		hosts, err = strconv.Atoi(text)
+	size := func(variable string, fallback int) int {
+		text := os.Getenv(variable)
+		if text == "" {
+			return fallback
+		}
+		n, err := strconv.Atoi(text)
 		is.NoErr(err)
+		return n
 	}
+	hosts, targets := size("BILBERRY_RESTORE_HOSTS", 40), size("BILBERRY_RESTORE_TARGETS", 20)
 	var ids []string
 	for i := range hosts {
 		ids = append(ids, fmt.Sprintf("h%d", i))
 	}
 	f := startFleet(t, ids...)
-	for i := range 20 {
+	for i := range targets {
 		f.store.putTarget(readyTarget(fmt.Sprintf("t%d", i), 0))
 	}
 	older := f.store.copyRecords()
@@ -59,8 +64,10 @@
 	for listed() < hosts && time.Since(restored) < 2*reregistrationSpread {
 		time.Sleep(50 * time.Millisecond)
 	}
-	t.Logf("%d hosts: new era known by all after %s; %d calls in the first second, %d in one before; all %d listed after %s",
-		hosts, took.Round(time.Millisecond), read, usual, listed(), time.Since(restored).Round(100*time.Millisecond))
+	source := f.hosts["h0"]
+	update := proto.Size(source.nextUpdate(source.subscribe(at(1))))
+	t.Logf("%d hosts: new era known by all after %s; %d calls in the first second, %d in one before; all %d listed after %s; a full update has %d bytes",
+		hosts, took.Round(time.Millisecond), read, usual, listed(), time.Since(restored).Round(100*time.Millisecond), update)
 	is.Equal(listed(), hosts)
 	// Two calls a host write its record again, over reregistrationSpread. The first hosts in the ranking read the store.
 	is.True(read-usual <= hosts/2+2*hostsPerRound)
