--- a/internal/registry/era_test.go
+++ b/internal/registry/era_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/bilberryline/bilberryline/internal/clock"
 	"github.com/bilberryline/bilberryline/internal/event"
+	"github.com/bilberryline/bilberryline/internal/routing"
 )
 
 // in returns a revision of an era.
@@ -253,3 +254,24 @@
 	}
 	is.Equal(details, []string{"revision 96 of era 2, known from the store; before: revision 120 of era 1"})
 }
+
+// Operators write the configuration again after a restore. Only another content under the same version is odd.
+func TestConfigurationWrittenAgainIsNoEvent(t *testing.T) {
+	is := is.New(t)
+	compile := func(document []byte) (*routing.Table, error) { return compileVersion(document[:1]) }
+	for content, events := range map[string]int{"8a": 0, "8b": 1, "7": 1} {
+		r := New(Config{Self: Host{ID: "self"}, Events: testEvents(), Compile: compile})
+		r.Merge(Batch{Position: in(1, 5), Configuration: &Configuration{Revision: in(1, 5), Document: []byte("8a")}})
+		r.Merge(Batch{Position: in(2, 3), Configuration: &Configuration{Revision: in(2, 3), Document: []byte(content)}})
+		is.Equal(string(r.configuration.Document), "8a") // followers get the one in force
+		recorded, n := r.cfg.Events.Since(0)
+		is.Equal(n, uint64(0))
+		behind := 0
+		for _, e := range recorded {
+			if e.ID == event.ConfigStoreBehind {
+				behind++
+			}
+		}
+		is.Equal(behind, events)
+	}
+}
--- a/internal/registry/merge.go
+++ b/internal/registry/merge.go
@@ -249,12 +249,16 @@
 // keepConfigurationLocked keeps the configuration in force although the store has another one whose version isn't higher.
 // Followers get the one in force, as if it had been written in place of the other.
 func (r *Registry) keepConfigurationLocked(c Configuration, routes *routing.Table) {
+	same := bytes.Equal(c.Document, r.documentInForce)
+	c.Document = r.documentInForce
+	r.setConfigurationLocked(c)
+	if same {
+		return // written again
+	}
 	detail := "in force: " + strconv.FormatUint(r.routes.Version, 10)
-	if routes.Version == r.routes.Version && !bytes.Equal(c.Document, r.documentInForce) {
+	if routes.Version == r.routes.Version {
 		detail += ", with other content"
 	}
-	c.Document = r.documentInForce
-	r.setConfigurationLocked(c)
 	r.cfg.Events.Record(event.ConfigStoreBehind, event.Fields{Revision: routes.Version, Detail: detail})
 }
 
