Check the route of a waiting request before it is sent

Cause: route and service are chosen at the admission and were not looked at again before a send; keys, regions and evacuations were.

Change: if the configuration has changed, the request is matched anew before each send. Without a route it gets 404, with a route to other services 503 and a short Retry-After, if it has not run.

gateway.TestRequestIsNotSentAfterItsRouteWasDroppedOrMoved fails with the check taken out (dropped, moved and emptied run).

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -193,7 +193,7 @@
 
 // excludedByConfiguration reports whether the configuration in force no longer lets any server have the request.
 func excludedByConfiguration(err error) bool {
-	return errors.Is(err, ErrKeyWithdrawn) || errors.Is(err, ErrKeyRequired) || errors.Is(err, ErrRouteChanged)
+	return errors.Is(err, ErrKeyWithdrawn) || errors.Is(err, ErrKeyRequired) || errors.Is(err, ErrRouteWithdrawn) || errors.Is(err, ErrRouteChanged)
 }
 
 // extraUnsentAttempts is the number of attempts beyond the route's MaxAttempts that are allowed when earlier
--- a/internal/gateway/changed_before_send_test.go
+++ b/internal/gateway/changed_before_send_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/bilberryline/bilberryline/internal/balance/expect"
+	"github.com/bilberryline/bilberryline/internal/routing"
 )
 
 // Between the choice of a server and the send, another request may take the server's last slot or its turn as a cold
@@ -58,3 +59,31 @@
 		})
 	}
 }
+
+// A request that waits or is retried while its route is dropped, or given to another service, ran at the old service for as
+// long as its deadline allowed, which is longer than a configuration may take to be in force.
+func TestRequestIsNotSentAfterItsRouteWasDroppedOrMoved(t *testing.T) {
+	moved := routeToShop()
+	moved.Split = []routing.WeightedService{{Service: "other", Weight: 1}}
+	emptied := routeToShop()
+	emptied.Split = []routing.WeightedService{{Service: "shop", Weight: 0}, {Service: "other", Weight: 1}}
+	for name, changed := range map[string]struct {
+		routes []*routing.Route
+		status int
+	}{
+		"dropped": {nil, http.StatusNotFound},
+		"moved":   {[]*routing.Route{moved}, http.StatusServiceUnavailable},
+		"emptied": {[]*routing.Route{emptied}, http.StatusServiceUnavailable},
+		"kept":    {[]*routing.Route{routeToShop()}, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c, received := workspaceCall(t)
+			setRoutes(c, 2, routing.DeclaredWorkspaces(c.workspace), changed.routes...)
+			resp := c.run(t.Context())
+			is.Equal(resp.Status, changed.status)
+			is.Equal(resp.Header.Get("Retry-After") != "", changed.status == http.StatusServiceUnavailable)
+			is.Equal(len(*received) > 0, changed.status == http.StatusOK)
+		})
+	}
+}
--- a/internal/gateway/current_scope.go
+++ b/internal/gateway/current_scope.go
@@ -37,10 +37,21 @@
 	return c.currentScope().AllowsRegion(c.g.cfg.RegionOf[s.target.Site])
 }
 
-// checkAdmission returns an error if the configuration in force would not admit the request with its key.
+// checkAdmission returns an error if the configuration in force would not admit the request as it was admitted: without
+// its route, to another service, or with another key.
 func (c *call) checkAdmission(routes *routing.Table) error {
 	if routes == nil || routes.Version == c.version {
 		return nil
 	}
-	return c.checkKey(routes, c.currentScope().Route)
+	route := routes.Match(c.req.Host, c.req.Path)
+	if route == nil {
+		return ErrRouteWithdrawn
+	}
+	if err := c.checkKey(routes, route); err != nil {
+		return err
+	}
+	if routes.Services[c.service.Name] == nil || !route.MaySendTo(c.service.Name) {
+		return ErrRouteChanged
+	}
+	return nil
 }
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -48,6 +48,8 @@
 	ErrKeyWithdrawn ConstError = "the caller's key was withdrawn"
 	// ErrKeyRequired means that the configuration requires a key since the request was admitted without one.
 	ErrKeyRequired ConstError = "the request has no key, and needs one now"
+	// ErrRouteWithdrawn means that the configuration has had no route for the request since its admission.
+	ErrRouteWithdrawn ConstError = "the route was withdrawn"
 	// ErrRouteChanged means that the request would be admitted in another way since the configuration has changed: to
 	// another service, or for a workspace.
 	ErrRouteChanged ConstError = "the route was changed"
--- a/internal/gateway/give_up.go
+++ b/internal/gateway/give_up.go
@@ -65,6 +65,8 @@
 	switch {
 	case errors.Is(err, ErrKeyWithdrawn), errors.Is(err, ErrKeyRequired):
 		return localResponse(http.StatusUnauthorized)
+	case errors.Is(err, ErrRouteWithdrawn):
+		return localResponse(http.StatusNotFound)
 	}
 	return refusal(c.retryAfter(err))
 }
