--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bilberryline/bilberryline/internal/event"
+	"github.com/bilberryline/bilberryline/internal/setting"
 )
 
 const (
@@ -30,7 +31,7 @@
 		return err
 	}
 	h.serving.Store(true)
-	h.events.Record(event.ProcessStarted, event.Fields{Detail: "listening for callers on " + h.front.Addr().String()})
+	h.events.Record(event.ProcessStarted, event.Fields{Detail: "build " + setting.Build() + ", listening for callers on " + h.front.Addr().String()})
 	return nil
 }
 
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -7,6 +7,7 @@
 
 	"github.com/bilberryline/bilberryline/internal/clock"
 	"github.com/bilberryline/bilberryline/internal/event"
+	"github.com/bilberryline/bilberryline/internal/setting"
 	"github.com/bilberryline/bilberryline/internal/stall"
 )
 
@@ -30,7 +31,7 @@
 	if err := g.front.Start(); err != nil {
 		return err
 	}
-	g.cfg.Events.Record(event.ProcessStarted, event.Fields{Detail: "listening for callers on " + g.front.Addr().String()})
+	g.cfg.Events.Record(event.ProcessStarted, event.Fields{Detail: "build " + setting.Build() + ", listening for callers on " + g.front.Addr().String()})
 	return nil
 }
 
--- a/internal/registry/collector_test.go
+++ b/internal/registry/collector_test.go
@@ -26,7 +26,7 @@
 		if e.ID == event.ConfigInForce {
 			found = true
 			is.Equal(e.Peer, "a")
-			is.Equal(e.Detail, "store revision 9 from another host, confirmed 700ms ago")
+			is.Equal(e.Detail, "store revision 9 from another host, confirmed 700ms ago; no list of workspaces")
 		}
 	}
 	is.True(found)
--- a/internal/registry/merge_configuration.go
+++ b/internal/registry/merge_configuration.go
@@ -38,7 +38,7 @@
 		return true // still sent to followers: a host with another build may be able to compile it
 	}
 	r.routes, r.documentInForce = routes, c.Document
-	r.cfg.Events.Record(event.ConfigInForce, event.Fields{Revision: routes.Version, Peer: b.Sender, Detail: b.origin(now)})
+	r.cfg.Events.Record(event.ConfigInForce, event.Fields{Revision: routes.Version, Peer: b.Sender, Detail: b.origin(now) + "; " + routes.DescribeKeys()})
 	for _, reason := range routes.Skipped {
 		r.cfg.Events.Record(event.RegistryOddEntry, event.Fields{Target: "configuration", Revision: c.Revision.Number, Detail: reason})
 	}
