Let the state cross to a region a few times only

A host without state took it from any host ranked before it that watches the store, in the store's region, if no relay of its data centre was ready, and when all start together none is; it stayed until the next look for a relay and got each registration meanwhile.

Change: two relays a region follow the host that watches the store, as many relays a data centre as the square root of its hosts follow those, the others these. Hosts without state wait for their relays. A source passes followers of another region on to those that it serves, and others too if it has many. What a relay gets it passes on at once. From 16 records on, changes are compressed.

TestHostThatFindsARelayOnlyFollowsItsSource checked Relay where it meant that a host follows the watching host itself; that is Hops == 1 now. The two tests of relays in one data centre check the three levels in place of the two.

--- a/internal/peer/collector.go
+++ b/internal/peer/collector.go
@@ -7,8 +7,8 @@
 var (
 	trafficDescription = prometheus.NewDesc(
 		"bilberry_peer_bytes_total",
-		"Bytes of frames exchanged with other entry hosts, by method and direction.",
-		[]string{"method", "direction"}, nil,
+		"Bytes of frames exchanged with other entry hosts, by method, direction and distance (site, region, other).",
+		[]string{"method", "direction", "distance"}, nil,
 	)
 	connectionDescription = prometheus.NewDesc(
 		"bilberry_peer_connection_bytes_total",
@@ -34,22 +34,27 @@
 	ch <- sessionDescription
 }
 
-// Collect implements prometheus.Collector. Bytes per method are summed over all other hosts.
+// Collect implements prometheus.Collector. Bytes are summed over all other hosts.
 func (n *Node) Collect(ch chan<- prometheus.Metric) {
 	type bytes struct{ sent, received uint64 }
-	byMethod := map[Method]bytes{}
+	type key struct {
+		method   Method
+		distance string
+	}
+	sums := map[key]bytes{}
 	for _, t := range n.Traffic() {
-		sum := byMethod[t.Method]
+		k := key{t.Method, t.Distance}
+		sum := sums[k]
 		sum.sent += t.Sent
 		sum.received += t.Received
-		byMethod[t.Method] = sum
+		sums[k] = sum
 	}
 	count := func(d *prometheus.Desc, value uint64, labels ...string) {
 		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(value), labels...)
 	}
-	for m, sum := range byMethod {
-		count(trafficDescription, sum.sent, string(m), directionSent)
-		count(trafficDescription, sum.received, string(m), directionReceived)
+	for k, sum := range sums {
+		count(trafficDescription, sum.sent, string(k.method), directionSent, k.distance)
+		count(trafficDescription, sum.received, string(k.method), directionReceived, k.distance)
 	}
 	sent, received := n.ConnectionBytes()
 	count(connectionDescription, sent, directionSent)
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -27,6 +27,8 @@
 	Listen string
 	// Resolve returns the peer address of a host, or false if it is unknown. Open then fails.
 	Resolve func(host string) (address string, ok bool)
+	// Distance says how far away a host is, for the counters of traffic. It is one of few values. Default: the same for all.
+	Distance func(host string) string
 	// HybridClock issues and observes the timestamps of frames.
 	HybridClock *event.HybridClock
 	// Events records unreachable peers and lost or refused sessions.
@@ -54,6 +56,9 @@
 	if c.Clock == nil {
 		c.Clock = clock.System{}
 	}
+	if c.Distance == nil {
+		c.Distance = func(string) string { return "" }
+	}
 	if c.MaxFrameSize <= 0 {
 		c.MaxFrameSize = defaultMaxFrameSize
 	}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -36,11 +36,11 @@
 	links           map[string]*link
 	sessions        map[*session]struct{}
 	counters        map[string]*hostCounters
-	pastCounters    hostCounters  // sums over hosts that no longer have counters
-	runningHandlers int           // number of running handlers
-	closing         bool          // no new handler may start
-	stopped         bool          // no new session may start
-	drained         chan struct{} // closed when closing is set and no handler is running
+	pastCounters    map[string]*hostCounters // sums over hosts that no longer have counters, by distance
+	runningHandlers int                      // number of running handlers
+	closing         bool                     // no new handler may start
+	stopped         bool                     // no new session may start
+	drained         chan struct{}            // closed when closing is set and no handler is running
 }
 
 type handlerEntry struct {
@@ -56,14 +56,15 @@
 		return nil, err
 	}
 	return &Node{
-		cfg:      cfg,
-		listener: listener,
-		handlers: map[Method]handlerEntry{},
-		stop:     make(chan struct{}),
-		links:    map[string]*link{},
-		sessions: map[*session]struct{}{},
-		counters: map[string]*hostCounters{},
-		drained:  make(chan struct{}),
+		cfg:          cfg,
+		listener:     listener,
+		handlers:     map[Method]handlerEntry{},
+		stop:         make(chan struct{}),
+		links:        map[string]*link{},
+		sessions:     map[*session]struct{}{},
+		counters:     map[string]*hostCounters{},
+		pastCounters: map[string]*hostCounters{},
+		drained:      make(chan struct{}),
 	}, nil
 }
 
--- a/internal/peer/peertest/network.go
+++ b/internal/peer/peertest/network.go
@@ -18,6 +18,9 @@
 	rng   *rand.Rand
 	nodes map[string]*Node
 	links map[pair]*link
+	// delayOf is the delay of links without one of their own, and observe is told of each message. They may be nil.
+	delayOf func(from, to string) time.Duration
+	observe func(from, to string, bytes int)
 }
 
 // pair identifies one direction between two nodes.
@@ -88,6 +91,13 @@
 	n.updateLinks(a, b, func(l *link) { l.delay = d })
 }
 
+// SetDelays sets the one-way delay of all links without one of their own. It must be called before the first message.
+func (n *Network) SetDelays(delayOf func(from, to string) time.Duration) { n.delayOf = delayOf }
+
+// Observe has observe called with each message and its size. It must be called before the first message; observe must be
+// safe for concurrent use.
+func (n *Network) Observe(observe func(from, to string, bytes int)) { n.observe = observe }
+
 // SetOpenFailureRate makes a random fraction of new exchanges between a and b fail with an UnreachableError.
 func (n *Network) SetOpenFailureRate(a, b string, rate float64) {
 	n.updateLinks(a, b, func(l *link) { l.openFailureRate = rate })
@@ -116,6 +126,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l = *n.linkLocked(p)
+	if l.delay == 0 && n.delayOf != nil {
+		l.delay = n.delayOf(p.from, p.to)
+	}
 	fails = l.cut || (l.openFailureRate > 0 && n.rng.Float64() < l.openFailureRate)
 	return l, fails
 }
--- a/internal/peer/peertest/stream.go
+++ b/internal/peer/peertest/stream.go
@@ -132,6 +132,9 @@
 	if s.isBroken() {
 		return s.brokenError(io.ErrClosedPipe)
 	}
+	if observe := s.local.net.observe; observe != nil {
+		observe(s.local.id, s.other.id, len(payload))
+	}
 	l, _ := s.local.net.linkState(pair{s.local.id, s.other.id})
 	if l.blackholed {
 		return nil
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -11,6 +13,8 @@
 type Traffic struct {
 	// Host is the id of the other host. It is empty in the sum over hosts without a link or session.
 	Host string
+	// Distance is how far away the host is, as Config.Distance says.
+	Distance string
 	// Method is the method of the exchanges.
 	Method Method
 	// Sent and Received are in bytes.
@@ -66,23 +70,26 @@
 }
 
 func compareTraffic(a, b Traffic) int {
-	if n := strings.Compare(a.Host, b.Host); n != 0 {
-		return n
-	}
-	return strings.Compare(string(a.Method), string(b.Method))
+	return cmp.Or(strings.Compare(a.Host, b.Host), strings.Compare(a.Distance, b.Distance), strings.Compare(string(a.Method), string(b.Method)))
 }
 
 // Traffic returns the counters of all hosts and methods, ordered by host and method.
 func (n *Node) Traffic() []Traffic {
-	n.mu.Lock()
-	hosts := []*hostCounters{&n.pastCounters}
-	for _, c := range n.counters {
-		hosts = append(hosts, c)
+	var all []Traffic
+	add := func(c *hostCounters, distance string) {
+		for _, t := range c.read() {
+			t.Distance = distance
+			all = append(all, t)
+		}
 	}
+	n.mu.Lock()
+	past, present := maps.Clone(n.pastCounters), maps.Clone(n.counters)
 	n.mu.Unlock()
-	var all []Traffic
-	for _, c := range hosts {
-		all = append(all, c.read()...)
+	for distance, c := range past {
+		add(c, distance)
+	}
+	for host, c := range present {
+		add(c, n.cfg.Distance(host))
 	}
 	slices.SortFunc(all, compareTraffic)
 	return all
@@ -90,6 +97,15 @@
 
 // foldCounters moves the counters of hosts that have neither a link nor a session to pastCounters.
 func (n *Node) foldCounters() {
+	n.mu.Lock()
+	distances := make(map[string]string, len(n.counters))
+	for host := range n.counters {
+		distances[host] = ""
+	}
+	n.mu.Unlock()
+	for host := range distances {
+		distances[host] = n.cfg.Distance(host)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	live := make(map[string]bool, len(n.links))
@@ -100,8 +116,15 @@
 		if live[host] || n.links[host] != nil {
 			continue
 		}
+		distance, known := distances[host]
+		if !known {
+			continue // a new one
+		}
+		if n.pastCounters[distance] == nil {
+			n.pastCounters[distance] = &hostCounters{}
+		}
 		for _, t := range c.read() {
-			sum := n.pastCounters.get(t.Method)
+			sum := n.pastCounters[distance].get(t.Method)
 			sum.sent.Add(t.Sent)
 			sum.received.Add(t.Received)
 		}
--- a/internal/registry/batch.go
+++ b/internal/registry/batch.go
@@ -27,8 +27,12 @@
 	FromStore bool
 	// Direct reports whether the sender watches the store itself.
 	Direct bool
-	// Relay reports whether the sender follows a host that watches the store itself.
+	// Relay reports whether the sender can be followed as a relay.
 	Relay bool
+	// Hops is the number of hosts between the sender and the store, or zero if its build doesn't say it.
+	Hops int
+	// Redirect is the host to follow in place of the sender, or nil.
+	Redirect *Host
 	// StoreFailed reports whether calls to the store have failed since it confirmed the position, at the sender or the
 	// host that it follows.
 	StoreFailed bool
--- a/internal/registry/convert.go
+++ b/internal/registry/convert.go
@@ -86,9 +86,15 @@
 		ConfirmedAt: now.Add(-time.Duration(u.AgeMs) * time.Millisecond),
 		Direct:      u.Direct,
 		Relay:       u.Relay,
+		Hops:        int(u.Hops),
 		StoreFailed: u.StoreFailed,
 		Full:        u.Whole,
 	}
+	if u.Redirect != nil {
+		to := HostFromProto(u.Redirect)
+		b.Redirect = &to
+		return b, nil
+	}
 	if u.EvacuationsPosition > 0 {
 		b.EvacuationsPosition = Revision{u.Era, u.EvacuationsPosition}
 	}
--- a/internal/registry/cooldown.go
+++ b/internal/registry/cooldown.go
@@ -28,6 +28,24 @@
 	r.skipSource(id, r.timing.unresponsiveCooldown, false)
 }
 
+// isUnresponsive records the result of a query of a relay, and reports whether the queries have failed for queryTimeout. One
+// failure shows nothing while hosts start.
+func (r *Registry) isUnresponsive(id string, err error) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil {
+		delete(r.failingSince, id)
+		return false
+	}
+	now := r.cfg.Clock.Now()
+	since, failed := r.failingSince[id]
+	if !failed || now.Sub(since) > r.timing.sourceCooldown {
+		r.failingSince[id] = now
+		return false
+	}
+	return now.Sub(since) >= r.timing.queryTimeout
+}
+
 // skipSource skips a host as a source for the given time at least.
 func (r *Registry) skipSource(id string, d time.Duration, timedOut bool) {
 	r.mu.Lock()
--- a/internal/registry/cooldown_test.go
+++ b/internal/registry/cooldown_test.go
@@ -163,7 +163,7 @@
 				took := f.timeToSpread(4)
 				t.Logf("all hosts know the change after %s", took)
 				is.True(took < defaultPropagationLimit)
-				is.Equal(f.hosts[cut].Freshness().Relay, sourceReached)
+				is.Equal(f.hosts[cut].Freshness().Hops == 1, sourceReached)
 			})
 		})
 	}
--- a/internal/registry/fake_store_test.go
+++ b/internal/registry/fake_store_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,11 +30,15 @@
 	changed           chan struct{}
 	calls             int
 	latency           atomic.Int64 // nanoseconds before the store begins to work on a call
+	listAge           atomic.Int64 // nanoseconds by which the lists of hosts are old
+	listedAt          map[string]time.Time
+	loads             map[string]int // full reads by host
 }
 
 func newFakeStore() *fakeStore {
 	return &fakeStore{
 		targets: map[string]Target{}, hosts: map[string]Host{}, evacuations: map[string]Evacuation{}, refused: map[string]bool{}, changed: make(chan struct{}),
+		listedAt: map[string]time.Time{}, loads: map[string]int{},
 	}
 }
 
@@ -101,6 +106,7 @@
 			delete(s.hosts, h.ID)
 		} else {
 			s.hosts[h.ID] = h
+			s.listedAt[h.ID] = time.Now()
 		}
 	}
 	for _, e := range b.Evacuations {
@@ -185,12 +191,25 @@
 	return nil
 }
 
-func (s *hostStore) Hosts(ctx context.Context, page time.Duration) ([]Host, error) {
-	b, err := s.Load(ctx, page)
-	return b.Hosts, err
+func (s *hostStore) Hosts(ctx context.Context, upToDate bool, page time.Duration) ([]Host, error) {
+	b, err := s.read(ctx, page)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	age := time.Duration(s.listAge.Load())
+	if upToDate {
+		age = 0
+	}
+	return slices.DeleteFunc(b.Hosts, func(h Host) bool { return time.Since(s.listedAt[h.ID]) < age }), err
 }
 
 func (s *hostStore) Load(ctx context.Context, page time.Duration) (Batch, error) {
+	s.mu.Lock()
+	s.loads[s.host]++
+	s.mu.Unlock()
+	return s.read(ctx, page)
+}
+
+func (s *hostStore) read(ctx context.Context, page time.Duration) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, page)
 	defer cancel()
 	if err := s.delay(ctx); err != nil {
--- a/internal/registry/follow.go
+++ b/internal/registry/follow.go
@@ -22,6 +22,9 @@
 	defer stop()
 	for first := true; ; first = false {
 		b, err := r.receive(s)
+		if err == nil && b.Redirect != nil {
+			return &redirectError{*b.Redirect}
+		}
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
@@ -36,13 +39,26 @@
 		if err := r.checkSource(b, asRelay, r.cfg.Clock.Now()); err != nil {
 			return err
 		}
-		r.setSource(id, b.Direct)
+		r.setSource(id, &b)
+		r.wakeFollowers()
 		if first {
-			r.cfg.Events.Record(event.RegistryFollowing, event.Fields{Peer: id, Revision: b.Position.Number, Detail: fmt.Sprintf("confirmed %dms ago", ageMs(r.cfg.Clock.Now(), b.ConfirmedAt))})
+			r.cfg.Events.Record(event.RegistryFollowing, event.Fields{Peer: id, Revision: b.Position.Number, Detail: r.describeSource(id, &b)})
 		}
 	}
 }
 
+// describeSource tells how current a followed host is, and why this host follows one of another region.
+func (r *Registry) describeSource(id string, b *Batch) string {
+	text := fmt.Sprintf("confirmed %dms ago", ageMs(r.cfg.Clock.Now(), b.ConfirmedAt))
+	if r.DistanceTo(id) != distanceOther {
+		return text
+	}
+	if len(r.relays()) == 0 {
+		return text + "; in another region, as this host is a relay of its own"
+	}
+	return text + "; in another region, as no relay of the own one has the state"
+}
+
 // receive reads one update. It fails when none arrives within updateTimeout.
 func (r *Registry) receive(s peer.Stream) (Batch, error) {
 	if err := s.SetDeadline(time.Now().Add(r.timing.updateTimeout)); err != nil {
@@ -80,10 +96,21 @@
 	return nil
 }
 
-func (r *Registry) setSource(id string, direct bool) {
+func (r *Registry) setSource(id string, b *Batch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.freshness.Source, r.freshness.Hops = id, 1
+	if !b.Direct {
+		r.freshness.Hops = max(b.Hops, 1) + 1
+	}
+	r.freshness.Relay = r.freshness.Hops <= maxRelayHops
+}
+
+// wakeFollowers passes a confirmation of the store on at once. Its age would grow with each host on the way otherwise.
+func (r *Registry) wakeFollowers() {
 	r.mu.Lock()
-	r.freshness.Source, r.freshness.Relay = id, direct
-	r.mu.Unlock()
+	defer r.mu.Unlock()
+	r.notifyLocked()
 }
 
 // watchesStore asks a host whether it watches the store itself and is up to date.
@@ -102,9 +129,15 @@
 	return r.checkEra(Revision{Era: u.Era}) == nil
 }
 
-// canRelay asks a host whether it can be followed as a relay.
+// canRelay asks a host whether it can be followed as a relay. A host that hasn't answered for queryTimeout is skipped.
 func (r *Registry) canRelay(ctx context.Context, id string) bool {
-	u := r.queryStatus(ctx, id)
+	u, err := r.callStatus(ctx, id)
+	if r.isUnresponsive(id, err) {
+		r.markUnresponsive(id)
+	}
+	if err != nil {
+		return false
+	}
 	return (u.Direct || u.Relay) && time.Duration(u.AgeMs)*time.Millisecond < r.timing.staleAfter && r.isOfLatestEra(u)
 }
 
@@ -146,7 +179,11 @@
 		s.Close()
 		return nil, err
 	}
-	if err := s.Send(&registrypb.Follow{Position: position.Number, Era: position.Era, ConfigurationVersion: r.configurationVersion()}); err != nil {
+	req := &registrypb.Follow{
+		Position: position.Number, Era: position.Era, ConfigurationVersion: r.configurationVersion(),
+		Self: HostToProto(&r.cfg.Self), NoRedirect: r.refusesRedirect(id),
+	}
+	if err := s.Send(req); err != nil {
 		s.Close()
 		return nil, err
 	}
--- a/internal/registry/pack.go
+++ b/internal/registry/pack.go
@@ -50,6 +50,38 @@
 	return r.packed.data
 }
 
+// minPackedChanges is the number of records from which on changes are compressed.
+const minPackedChanges = 16
+
+// packedChanges caches the compressed changes that a follower got. Those that follow in lockstep are sent the same bytes.
+type packedChanges struct {
+	data     []byte
+	from, to uint64 // numbers of the newest local changes before and after the update
+	builtAt  time.Time
+}
+
+// packChangesLocked replaces the records of an update with many changes by their compressed form. Servers register by the
+// thousand within seconds, at a start or after an outage.
+func (r *Registry) packChangesLocked(u *registrypb.Update, sub *subscriber, now time.Time) {
+	if len(u.Targets)+len(u.Hosts)+len(u.Evacuations) < minPackedChanges {
+		return
+	}
+	lockstep := sub.started && !sub.full
+	if p := r.packedChanges; lockstep && p.data != nil && p.from == sub.sentSequence && p.to == r.sequence && now.Sub(p.builtAt) < packedTTL {
+		u.Packed = p.data
+	} else {
+		data, err := proto.Marshal(&registrypb.Records{Targets: u.Targets, Hosts: u.Hosts, Evacuations: u.Evacuations})
+		if err != nil {
+			panic(err) // can't happen: the messages hold plain fields only
+		}
+		u.Packed = deflate(data)
+		if lockstep {
+			r.packedChanges = packedChanges{data: u.Packed, from: sub.sentSequence, to: r.sequence, builtAt: now}
+		}
+	}
+	u.Targets, u.Hosts, u.Evacuations = nil, nil, nil
+}
+
 func unpackRecords(data []byte) (*registrypb.Records, error) {
 	plain, err := inflate(data)
 	if err != nil {
--- a/internal/registry/register.go
+++ b/internal/registry/register.go
@@ -55,9 +55,10 @@
 // takeOverRecord looks for the record that an earlier process of this host has left in the store, and takes
 // over its lease. The record is then renewed instead of written again.
 func (r *Registry) takeOverRecord(ctx context.Context) {
-	for _, h := range r.readHosts(ctx) {
+	for _, h := range r.readHosts(ctx, false) {
 		if h.Lease.ID != 0 && h.sameAttributes(&r.cfg.Self) {
 			r.setLease(h.Lease)
+			r.tookOver = true
 			r.cfg.Events.Record(event.RegistryListed, event.Fields{Detail: "the record of an earlier process is taken over"})
 		}
 	}
--- a/internal/registry/register_test.go
+++ b/internal/registry/register_test.go
@@ -34,7 +34,7 @@
 // partialHostsStore is a store that fails after the first part of the list of hosts.
 type partialHostsStore struct{ Store }
 
-func (s partialHostsStore) Hosts(context.Context, time.Duration) ([]Host, error) {
+func (s partialHostsStore) Hosts(context.Context, bool, time.Duration) ([]Host, error) {
 	return []Host{{ID: "h2", Address: "10.0.0.2:7660"}}, errRefused
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -57,6 +57,7 @@
 	// the targets and hosts in that form.
 	configurationProto *registrypb.Configuration
 	packed             packedRecords
+	packedChanges      packedChanges
 	// sequence is the number of the latest local change, configurationSequence that of the latest change
 	// of the configuration.
 	sequence              uint64
@@ -72,8 +73,12 @@
 	oddReported           map[string]Revision // revisions at which odd entries were reported, by key
 	cooldowns             map[string]cooldown // of hosts that are skipped as sources, by id
 	lease                 Lease
-	hostsChanged          chan struct{} // closed and replaced when the host list changes
+	learned               map[string]string    // addresses of hosts to which others have passed this host on, by id
+	noRedirect            map[string]time.Time // hosts that are to serve this one themselves, until the given time
+	failingSince          map[string]time.Time // when queries of a relay began to fail
+	hostsChanged          chan struct{}        // closed and replaced when the host list changes
 
+	tookOver     bool // the record of an earlier process, so that the list of hosts is that of a running deployment
 	storeLatency storeLatency
 	lifetime     context.Context // ends when Run returns
 	endLifetime  context.CancelFunc
@@ -96,6 +101,9 @@
 		subscribers:  make(map[*subscriber]struct{}),
 		oddReported:  make(map[string]Revision),
 		cooldowns:    make(map[string]cooldown),
+		learned:      make(map[string]string),
+		noRedirect:   make(map[string]time.Time),
+		failingSince: make(map[string]time.Time),
 		hostsChanged: make(chan struct{}),
 	}
 	r.lifetime, r.endLifetime = context.WithCancel(context.Background())
@@ -116,13 +124,38 @@
 // Address returns the peer address of a host that is registered or was until recently. Recently removed
 // hosts are included because the store may remove the records of hosts that it refuses.
 func (r *Registry) Address(id string) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if h, ok := r.hosts[id]; ok {
+		return h.Address, true
+	}
+	address, ok := r.learned[id]
+	return address, ok
+}
+
+// Values of DistanceTo.
+const (
+	distanceSite    = "site"
+	distanceRegion  = "region"
+	distanceOther   = "other"
+	distanceUnknown = "unknown"
+)
+
+// DistanceTo returns how far away another host is: in the same data centre, in another one of the region, or in another
+// region.
+func (r *Registry) DistanceTo(id string) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	h, ok := r.hosts[id]
-	if !ok {
-		return "", false
+	switch {
+	case !ok:
+		return distanceUnknown
+	case h.Site == r.cfg.Self.Site:
+		return distanceSite
+	case h.Region == r.cfg.Self.Region:
+		return distanceRegion
 	}
-	return h.Address, true
+	return distanceOther
 }
 
 // Run registers the host in the store and keeps the registry current until ctx ends.
--- a/internal/registry/search.go
+++ b/internal/registry/search.go
@@ -18,7 +18,7 @@
 	maxRounds     = 5
 	// initialPollInterval is the interval at which a host without any state looks for a source. It is a few
 	// times the latency between regions.
-	initialPollInterval = 50 * time.Millisecond
+	initialPollInterval = 25 * time.Millisecond
 	// randomQueries is the number of hosts that findElsewhere queries at random.
 	randomQueries = 8
 	// rankingKey is the rendezvous hashing key for the ranking of hosts as sources.
@@ -49,8 +49,7 @@
 // pauses to these hosts and looks elsewhere meanwhile.
 func (r *Registry) findRankedBefore(ctx context.Context) (foundSource, bool) {
 	if r.Freshness().Position.IsZero() {
-		id := r.findInitialSource(ctx)
-		return foundSource{id: id}, id != ""
+		return r.findInitialSource(ctx)
 	}
 	id := r.findSource(ctx, r.rankedBefore(r.cfg.Self.ID))
 	// The search has found out which hosts don't answer, so that the rank is the one among the others.
@@ -67,28 +66,46 @@
 	return foundSource{id: id}, id != ""
 }
 
-// findInitialSource is findRankedBefore for a host without any state. Requests wait for this state, so the
-// first hosts in the ranking query nobody, and the others query often and accept any host ranked before them.
+// findInitialSource is findRankedBefore for a host without any state. Requests wait for this state, so the first hosts in
+// the ranking query nobody, and the others query often. They leave the relays of their data centre and region some time to
+// get the state, and then accept any host ranked before them.
 // While a deployment starts for the first time, the list of hosts is short and old. A host far from the store
-// therefore waits for the hosts near it, and reads the list again.
-func (r *Registry) findInitialSource(ctx context.Context) string {
+// therefore waits for the hosts near it, and reads the list again, up to date if no other host of its region is known.
+func (r *Registry) findInitialSource(ctx context.Context) (foundSource, bool) {
 	const pollsPerRound = int(roundPause / initialPollInterval)
 	rounds := roundsToWait(len(r.rankedBefore(r.cfg.Self.ID)))
-	if r.currentLease().ID == 0 {
+	if !r.tookOver {
 		rounds = max(rounds, int(r.cfg.Self.StoreDistance))
 	}
+	began := r.cfg.Clock.Now()
 	for poll := range rounds * pollsPerRound {
 		if poll > 0 && r.sleep(ctx, initialPollInterval) != nil {
-			return ""
+			return foundSource{}, false
 		}
-		if poll > 0 && poll%pollsPerRound == 0 {
-			r.readHosts(ctx)
+		if poll > 0 && poll%pollsPerRound == 0 && !r.tookOver {
+			r.readHosts(ctx, r.isAloneInRegion())
+		}
+		if id := r.findRelay(ctx); id != "" {
+			return foundSource{id: id, asRelay: true}, true
+		}
+		if len(r.relays()) > 0 && r.cfg.Clock.Now().Sub(began) < r.timing.updateTimeout {
+			continue
 		}
 		if id := r.findAny(ctx, r.rankedBefore(r.cfg.Self.ID), r.watchesStore); id != "" {
-			return id
+			return foundSource{id: id}, true
 		}
 	}
-	return ""
+	return foundSource{}, false
+}
+
+// isAloneInRegion reports whether no other host of this host's region is known.
+func (r *Registry) isAloneInRegion() bool {
+	for id, h := range r.View().Hosts {
+		if id != r.cfg.Self.ID && h.Region == r.cfg.Self.Region {
+			return false
+		}
+	}
+	return true
 }
 
 // findAny checks up to maxQueriedHosts of the hosts concurrently. It returns the first one found to meet the
@@ -235,20 +252,22 @@
 	return ids
 }
 
-// ranking returns the registered hosts and this host in their order as sources: hosts near the store first,
+// ranking returns the registered hosts and this host in their order as sources.
+func (r *Registry) ranking() []string { return rank(r.View().Hosts, r.cfg.Self) }
+
+// rank returns the hosts, and one that may be missing from them, in their order as sources: hosts near the store first,
 // by rendezvous hash among hosts at the same distance.
-func (r *Registry) ranking() []string {
-	hosts := r.View().Hosts
+func rank(hosts map[string]Host, self Host) []string {
 	ids := make([]string, 0, len(hosts)+1)
 	for id := range hosts {
 		ids = append(ids, id)
 	}
-	if _, ok := hosts[r.cfg.Self.ID]; !ok {
-		ids = append(ids, r.cfg.Self.ID)
+	if _, ok := hosts[self.ID]; !ok {
+		ids = append(ids, self.ID)
 	}
 	distance := func(id string) Distance {
-		if id == r.cfg.Self.ID {
-			return r.cfg.Self.StoreDistance
+		if id == self.ID {
+			return self.StoreDistance
 		}
 		return hosts[id].StoreDistance
 	}
--- a/internal/registry/serve.go
+++ b/internal/registry/serve.go
@@ -18,6 +18,7 @@
 	sentSequence uint64   // number of the newest local change sent to the follower
 	changed      chan struct{}
 	version      uint64 // version of the follower's configuration when it subscribed; 0 if it has none or doesn't say it
+	host         Host   // the follower; its id is empty if its build doesn't say it
 }
 
 // HandleFollow serves one follower until it disconnects. It is a peer.Handler. A follower that doesn't read is
@@ -34,8 +35,15 @@
 		_ = s.Recv(&registrypb.Follow{})
 		cancel()
 	}()
+	if to, ok := r.redirect(req); ok {
+		_ = s.Send(&registrypb.Update{Redirect: HostToProto(&to)})
+		return
+	}
 	sub := r.subscribe(Revision{req.Era, req.Position})
 	sub.version = req.ConfigurationVersion
+	if req.Self != nil {
+		r.nameSubscriber(sub, HostFromProto(req.Self))
+	}
 	defer r.unsubscribe(sub)
 	for ctx.Err() == nil {
 		if err := s.Send(r.nextUpdate(sub)); err != nil {
@@ -56,7 +64,7 @@
 		return
 	}
 	f := r.Freshness()
-	u := &registrypb.Update{Position: f.Position.Number, Era: f.Position.Era, AgeMs: ageMs(r.cfg.Clock.Now(), f.ConfirmedAt), Direct: f.Direct, Relay: f.Relay}
+	u := &registrypb.Update{Position: f.Position.Number, Era: f.Position.Era, AgeMs: ageMs(r.cfg.Clock.Now(), f.ConfirmedAt), Direct: f.Direct, Relay: f.Relay, Hops: uint32(f.Hops)}
 	if f.Relay {
 		u.Source = f.Source
 	}
@@ -73,6 +81,12 @@
 	return sub
 }
 
+func (r *Registry) nameSubscriber(sub *subscriber, h Host) {
+	r.mu.Lock()
+	sub.host = h
+	r.mu.Unlock()
+}
+
 func (r *Registry) unsubscribe(sub *subscriber) {
 	r.mu.Lock()
 	delete(r.subscribers, sub)
@@ -102,6 +116,7 @@
 		AgeMs:    ageMs(now, r.freshness.ConfirmedAt),
 		Direct:   r.freshness.Direct,
 		Relay:    r.freshness.Relay,
+		Hops:     uint32(r.hopsLocked()),
 		// The follower must know of an outage of the store when it turns to the store itself.
 		StoreFailed: r.freshness.StoreFailed,
 		// A host without a position has no state yet, so its followers must not remove what it lacks.
@@ -115,6 +130,7 @@
 		u.HistoryStart = r.historyStart.Number
 	} else {
 		r.addMissingLocked(u, sub, now)
+		r.packChangesLocked(u, sub, now)
 	}
 	behind := !sub.started && sub.version > 0 && r.routes != nil && sub.version < r.routes.Version
 	if c := r.configurationProto; c != nil && (behind || sub.needs(r.configuration.Revision, r.configurationSequence, false)) {
@@ -130,6 +146,14 @@
 	return u
 }
 
+// hopsLocked returns the number of hosts between this host and the store.
+func (r *Registry) hopsLocked() int {
+	if r.freshness.Direct {
+		return 0
+	}
+	return r.freshness.Hops
+}
+
 // addMissingLocked adds the targets, hosts and evacuations that the follower doesn't have yet.
 func (r *Registry) addMissingLocked(u *registrypb.Update, sub *subscriber, now time.Time) {
 	for _, t := range r.targets {
--- a/internal/registry/source.go
+++ b/internal/registry/source.go
@@ -104,14 +104,14 @@
 // start at the same time, and the list may be seconds old.
 func (r *Registry) discoverHosts(ctx context.Context) {
 	if len(r.View().Hosts) <= 1 && r.sleep(ctx, searchInterval) == nil {
-		r.readHosts(ctx)
+		r.readHosts(ctx, false)
 	}
 }
 
-// readHosts reads the list of hosts, which may be seconds old, merges it and returns it. When reading fails, the
-// hosts read so far are enough to find a source.
-func (r *Registry) readHosts(ctx context.Context) []Host {
-	hosts, err := r.cfg.Store.Hosts(ctx, callTimeout)
+// readHosts reads the list of hosts, which may be seconds old unless it must be up to date, merges it and returns it. When
+// reading fails, the hosts read so far are enough to find a source.
+func (r *Registry) readHosts(ctx context.Context, upToDate bool) []Host {
+	hosts, err := r.cfg.Store.Hosts(ctx, upToDate, callTimeout)
 	if err != nil {
 		detail := fmt.Sprintf("reading the list of hosts failed after %d hosts: %v", len(hosts), err)
 		r.cfg.Events.Record(event.StoreUnreachable, event.Fields{Detail: detail})
@@ -122,7 +122,18 @@
 
 // followUntilBetter follows a host until it is lost or a better ranked one is found.
 func (r *Registry) followUntilBetter(ctx context.Context, id string) {
-	r.recordSourceEnd(ctx, id, r.runUntilBetter(ctx, id, func(ctx context.Context) error { return r.follow(ctx, id, false) }))
+	r.endSource(ctx, id, r.runUntilBetter(ctx, id, func(ctx context.Context) error { return r.follow(ctx, id, false) }))
+}
+
+// endSource follows the host to which the former source has passed this one on, or records why the source is no longer
+// followed.
+func (r *Registry) endSource(ctx context.Context, id string, err error) {
+	var passedOn *redirectError
+	if errors.As(err, &passedOn) {
+		r.followRedirect(ctx, id, passedOn.to)
+		return
+	}
+	r.recordSourceEnd(ctx, id, err)
 }
 
 // followFound follows a host until it is lost or a better one is found.
@@ -150,7 +161,7 @@
 	if source == r.cfg.Self.ID || r.ranking()[0] != r.cfg.Self.ID {
 		return false
 	}
-	_, err := r.cfg.Store.Hosts(ctx, callTimeout)
+	_, err := r.cfg.Store.Hosts(ctx, false, callTimeout)
 	return err == nil
 }
 
@@ -161,7 +172,7 @@
 	replaced := func(ctx context.Context) bool {
 		return r.shouldWatchStore(ctx, id) || !slices.Contains(r.relays(), id) && r.hasOtherSource(ctx)
 	}
-	r.recordSourceEnd(ctx, id, r.runUntil(ctx, replaced, follow))
+	r.endSource(ctx, id, r.runUntil(ctx, replaced, follow))
 }
 
 // hasOtherSource reports whether a host that follows a former relay can follow one of the present relays or, when it
@@ -188,7 +199,7 @@
 	defer check.Wait()
 	defer cancel(nil)
 	check.Go(func() {
-		for pause := betterSourceInitialDelay; r.sleep(ctx, pause) == nil; pause = r.timing.betterSourceInterval {
+		for pause := betterSourceInitialDelay; r.sleep(ctx, pause) == nil; pause = min(2*pause, r.timing.betterSourceInterval) {
 			if better(ctx) {
 				cancel(errBetterSource)
 			}
--- a/internal/registry/source_test.go
+++ b/internal/registry/source_test.go
@@ -203,18 +203,23 @@
 // With many hosts per data centre, only the relays may follow the watcher. In a sweep with 300 hosts, all
 // others followed the watcher, which sent 2 MB per second.
 func TestHostsFollowRelaysOfTheirDataCentre(t *testing.T) {
-	f := startFleet(t, "h1", "h2", "h3", "h4", "h5", "h6")
+	f := startFleet(t, "h1", "h2", "h3", "h4", "h5", "h6", "h7")
 	ranking := f.hosts["h1"].ranking()
 	f.awaitRelays(ranking)
 
-	// After the loss of both relays, the other hosts follow each other or watch the store.
-	for _, lost := range ranking[:relaysPerSite] {
-		for _, id := range ranking[relaysPerSite:] {
-			f.net.Blackhole(lost, id)
+	// After the loss of the relays of the region, and then of those of the data centre, the other hosts follow each other
+	// or watch the store.
+	version := 1
+	for _, lostCount := range []int{relaysPerRegion, relaysPerRegion + relaysOfSite(len(ranking))} {
+		for _, lost := range ranking[:lostCount] {
+			for _, id := range ranking[lostCount:] {
+				f.net.Blackhole(lost, id)
+			}
 		}
+		version++
+		f.store.putConfig(version)
+		f.await("the change is known", func(r *Registry) bool { return f.version(r) == uint64(version) })
 	}
-	f.store.putConfig(2)
-	f.await("the change is known", func(r *Registry) bool { return f.version(r) == 2 })
 }
 
 // A host may choose its relay while the list of hosts is short, as at the first start of a deployment. It must not stay
@@ -225,8 +230,10 @@
 	ranking := f.hosts["h1"].ranking()
 	f.awaitRelays(ranking)
 	early, host := ranking[4], f.hosts[ranking[5]]
-	f.net.Blackhole(early, ranking[1]) // it then follows the watcher as its relay, so that it may be followed itself
-	f.await("the early relay follows the watcher", func(*Registry) bool { return f.hosts[early].Freshness().Relay })
+	for _, relay := range ranking[2:4] { // it then takes the place of the relays of the data centre, so that it may be followed
+		f.net.Blackhole(early, relay)
+	}
+	f.await("the early relay follows a relay of the region", func(*Registry) bool { return f.hosts[early].Freshness().Relay })
 	ctx, cancel := context.WithTimeout(t.Context(), awaitTimeout)
 	defer cancel()
 	host.followRelay(ctx, early)
@@ -241,13 +248,23 @@
 	return len(r.subscribers)
 }
 
-// awaitRelays waits until the first ranked host watches the store, only the second relay follows it directly, and the
-// others follow the relays. All hosts are in one data centre.
+// awaitRelays waits until the first ranked host watches the store, the second one follows it, the relays of the data centre
+// follow these relays of the region, and the others the relays of the data centre. All hosts are in one data centre.
 func (f *fleet) awaitRelays(ranking []string) {
 	f.t.Helper()
-	f.await("only the second relay follows the watcher directly and the others follow relays", func(*Registry) bool {
-		sum := f.followers(ranking[0]) + f.followers(ranking[1])
-		return f.watchers() == 1 && sum == len(ranking)-1 && len(f.hosts[ranking[len(ranking)-1]].relays()) == relaysPerSite
+	others := relaysPerRegion + relaysOfSite(len(ranking))
+	followers := func(ids []string) (sum int) {
+		for _, id := range ids {
+			sum += f.followers(id)
+		}
+		return sum
+	}
+	f.await("the hosts follow the relays of their region and data centre", func(*Registry) bool {
+		return f.watchers() == 1 && followers(ranking[:relaysPerRegion]) == others-1 &&
+			followers(ranking[relaysPerRegion:others]) == len(ranking)-others
 	})
-	is.New(f.t).Equal(len(f.hosts[ranking[1]].relays()), 0)
+	is := is.New(f.t)
+	is.Equal(len(f.hosts[ranking[1]].relays()), 0)
+	is.Equal(f.hosts[ranking[relaysPerRegion]].relays(), ranking[:relaysPerRegion])
+	is.Equal(len(f.hosts[ranking[others]].relays()), others-relaysPerRegion)
 }
--- a/internal/registry/store.go
+++ b/internal/registry/store.go
@@ -8,10 +8,10 @@
 // Store gives access to the shared store. Its methods are called from several goroutines; a call of Changes may still be
 // under way when the next one begins. No lock is held during a call.
 type Store interface {
-	// Hosts reads the registered entry hosts page by page. The list may be seconds old, and so of an earlier era, so that the
-	// revisions have none. Reading one page may
-	// take no longer than the time given. With an error it returns the hosts read so far.
-	Hosts(ctx context.Context, page time.Duration) ([]Host, error)
+	// Hosts reads the registered entry hosts page by page. Unless it must be up to date, which costs more, the list may be
+	// seconds old, and so of an earlier era, so that the revisions have none. Reading one page may take no longer than the
+	// time given. With an error it returns the hosts read so far.
+	Hosts(ctx context.Context, upToDate bool, page time.Duration) ([]Host, error)
 	// Load reads all records page by page. Reading one page may take no longer than the time given.
 	Load(ctx context.Context, page time.Duration) (Batch, error)
 	// Changes returns the changes after a revision. When there are none it waits for one, but no longer than
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -32,8 +32,11 @@
 	StoreFailed bool
 	// Direct reports whether this host watches the store itself.
 	Direct bool
-	// Relay reports whether this host's latest update came from a host that watches the store itself.
+	// Relay reports whether this host can be followed as a relay: its latest update came from a host that watches the store
+	// itself, by way of another host at most.
 	Relay bool
+	// Hops is the number of hosts between this host and the store, or zero if it watches the store itself.
+	Hops int
 	// Source is the host that this host's latest update came from.
 	Source string
 }
