Accept nobody if bilberry-entry's callers are empty

config.TestEmptyCallersAcceptNobody and plan.TestDiffReportsThatNoCallersAreLeft fail with the length in place of the field's presence.

--- a/internal/config/build.go
+++ b/internal/config/build.go
@@ -38,13 +38,13 @@
 	for name, c := range d.Callers {
 		s.Callers[name] = buildCaller(name, c)
 	}
-	if len(d.Callers) == 0 {
+	if d.admitsAllClients() {
 		s.Callers[AnonymousCaller] = newAnonymousCaller(s)
 	}
 	sites := sitesOf(d)
 	for _, name := range sortedKeys(d.Services) {
 		service := buildService(name, d.Services[name], sites)
-		service.Accepts = acceptedCallers(d.Services[name].Accept, s.Callers, len(d.Callers) == 0)
+		service.Accepts = acceptedCallers(d.Services[name].Accept, s.Callers, d.admitsAllClients())
 		s.Services[name] = service
 		s.Routes = append(s.Routes, service.Routes...)
 	}
@@ -53,6 +53,10 @@
 	return s
 }
 
+// admitsAllClients reports whether the declaration has no callers field. An empty one admits nobody: its callers were taken
+// away.
+func (d *Declaration) admitsAllClients() bool { return d.Callers == nil }
+
 func newAnonymousCaller(s *Snapshot) *Caller {
 	c := &Caller{Name: AnonymousCaller, Weight: defaultWeight}
 	if regions := sortedKeys(s.Regions); len(regions) > 0 {
--- a/internal/config/compile.go
+++ b/internal/config/compile.go
@@ -1,6 +1,6 @@
 package config
 
-// AnonymousCaller is the caller name of all clients when no callers are declared.
+// AnonymousCaller is the caller name of all clients when a declaration has no callers field.
 const AnonymousCaller = "anonymous"
 
 // File names in errors when a declaration does not come from a folder.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -91,6 +91,32 @@
 	is.Equal(s.Match("PUT", "", "/x").Service, "a")
 }
 
+// A declaration whose last caller was removed accepted everybody, as if it never had callers. Rendered, it must stay what it
+// is.
+func TestEmptyCallersAcceptNobody(t *testing.T) {
+	const services = "apiVersion: bilberryline/v1\nservices: {a: {routes: {all: {}}, targets: {a: {address: '127.0.0.1:1'}}}}\n"
+	const phone = "callers: {phone: {networks: {10.0.0.0/8: true}}}\n"
+	for name, files := range map[string]struct{ base, overlay string }{
+		"empty":               {services + "callers: {}\n", ""},
+		"removed by overlay":  {services + phone, "callers: {phone: null}"},
+		"rendered empty ones": {"", ""},
+	} {
+		is := is.New(t)
+		base, overlay := []byte(files.base), []byte(files.overlay)
+		if files.base == "" {
+			tree := &Tree{Base: []byte(services + "callers: {}\n"), Overlays: map[string][]byte{"s": nil}}
+			rendered, err := tree.Render("s", false)
+			is.NoErr(err)
+			base = rendered
+		}
+		s, err := Compile(base, overlay, "")
+		is.NoErr(err)
+		t.Log(name)
+		is.Equal(s.Identify("", netip.MustParseAddr("10.0.0.1")), nil)
+		is.Equal(len(s.Callers)+len(s.Services["a"].Accepts), 0)
+	}
+}
+
 func TestCompileRejectsInvalidDeclarations(t *testing.T) {
 	cases := []struct {
 		name, base, overlay string
--- a/internal/config/declaration.go
+++ b/internal/config/declaration.go
@@ -18,9 +18,9 @@
 	Regions map[string]*DeclaredRegion `json:"regions,omitempty" scope:"base"`
 	// Departments are groups of callers by name. Only the base file may set them.
 	Departments map[string]*DeclaredDepartment `json:"departments,omitempty" scope:"base"`
-	// Callers are the clients that may send requests, by name. If none are declared, every service
-	// accepts all clients under the caller name "anonymous".
-	Callers map[string]*DeclaredCaller `json:"callers,omitempty"`
+	// Callers are the clients that may send requests, by name. Without this field every service accepts
+	// all clients under the caller name "anonymous". If it is there and empty, no client is accepted.
+	Callers map[string]*DeclaredCaller `json:"callers,omitzero"`
 	// Services are the services by name.
 	Services map[string]*DeclaredService `json:"services,omitempty"`
 }
--- a/internal/config/identify.go
+++ b/internal/config/identify.go
@@ -7,7 +7,7 @@
 
 // Identify returns the caller that owns the bearer token. If there is none, it returns the caller with
 // the smallest network that contains addr, or nil. Tokens are compared by their SHA-256 hash. A
-// snapshot without declared callers identifies every client as AnonymousCaller.
+// snapshot of a declaration without callers identifies every client as AnonymousCaller.
 func (s *Snapshot) Identify(bearerToken string, addr netip.Addr) *Caller {
 	tables := s.lookupTables()
 	if tables.anonymous != nil {
--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -43,6 +43,7 @@
 		&cli.Uint64Flag{Name: flagAbove, Usage: "make the revision's number exceed this one, after the store was set back"},
 		&cli.BoolFlag{Name: flagAllowCutOff, Usage: "allow a caller to lose access"},
 		&cli.BoolFlag{Name: flagAllowEmpty, Usage: "allow a service to be left with no backend server"},
+		&cli.BoolFlag{Name: flagAllowOpen, Usage: "allow that all clients are accepted because no callers are declared any more"},
 		&cli.BoolFlag{Name: flagWait, Usage: "wait until all entry hosts have the revision in force; needs --host"},
 	}
 }
@@ -137,7 +138,10 @@
 	if !cmd.Bool(flagAllowEmpty) {
 		harm.Empty = p.HarmfulChanges(plan.HarmEmpty)
 	}
-	if len(harm.CutOff)+len(harm.Empty) == 0 {
+	if !cmd.Bool(flagAllowOpen) {
+		harm.Open = p.HarmfulChanges(plan.HarmOpen)
+	}
+	if len(harm.CutOff)+len(harm.Empty)+len(harm.Open) == 0 {
 		return nil
 	}
 	return harm
--- a/internal/ctl/errors.go
+++ b/internal/ctl/errors.go
@@ -39,6 +39,8 @@
 	CutOff []string
 	// Empty describes the changes that leave a service without backend servers.
 	Empty []string
+	// Open describes the changes after which all clients are accepted.
+	Open []string
 }
 
 // Error implements error.
@@ -51,6 +53,9 @@
 	for _, text := range e.Empty {
 		fmt.Fprintf(&b, "\n  %s (allow with --allow-empty)", text)
 	}
+	for _, text := range e.Open {
+		fmt.Fprintf(&b, "\n  %s (allow with --allow-open)", text)
+	}
 	return b.String()
 }
 
--- a/internal/ctl/flags.go
+++ b/internal/ctl/flags.go
@@ -25,6 +25,7 @@
 	flagAbove       = "above"
 	flagAllowCutOff = "allow-cut-off"
 	flagAllowEmpty  = "allow-empty"
+	flagAllowOpen   = "allow-open"
 	flagDryRun      = "dry-run"
 )
 
--- a/internal/plan/callers.go
+++ b/internal/plan/callers.go
@@ -8,9 +8,14 @@
 )
 
 func (c *siteDiff) diffCallers() {
+	if len(c.before.Callers) > 0 && len(c.after.Callers) == 0 {
+		c.add(Change{Kind: CallerRemoved, Harm: HarmCutOff, Text: "no caller is left: no client is accepted"})
+	}
 	for _, name := range unionKeys(c.before.Callers, c.after.Callers) {
 		oldCaller, newCaller := c.before.Callers[name], c.after.Callers[name]
 		switch {
+		case oldCaller == nil && name == config.AnonymousCaller && len(c.before.Callers) > 0:
+			c.add(Change{Kind: CallerAdded, Name: name, Harm: HarmOpen, Text: "no callers are declared any more: all clients are accepted by all services"})
 		case oldCaller == nil:
 			c.add(Change{Kind: CallerAdded, Name: name, Text: fmt.Sprintf("caller %s is added", name)})
 		case newCaller == nil:
--- a/internal/plan/change.go
+++ b/internal/plan/change.go
@@ -49,6 +49,8 @@
 	HarmCutOff Harm = "cut-off"
 	// HarmEmpty means that a service loses its last backend server that is not draining.
 	HarmEmpty Harm = "empty"
+	// HarmOpen means that all clients are accepted from now on, whoever they are.
+	HarmOpen Harm = "open"
 )
 
 // SiteGroup lists the changes of a group of sites that have the same changes.
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -45,6 +45,24 @@
 	is.Equal(p.HarmfulChanges(HarmEmpty), []string{"service deposits is left with no backend server that takes work"})
 }
 
+// Nobody was told that a change takes the last caller away, or drops the callers and so admits all clients.
+func TestDiffReportsThatNoCallersAreLeft(t *testing.T) {
+	const services = "apiVersion: bilberryline/v1\nservices: {a: {routes: {all: {}}, targets: {a: {address: '127.0.0.1:1'}}, accept: {callers: {phone: true}}}}\n"
+	compile := func(base string) map[string]*config.Snapshot {
+		s, err := config.Compile([]byte(base), nil, "")
+		is.New(t).NoErr(err)
+		return map[string]*config.Snapshot{"s": s}
+	}
+	const open = "apiVersion: bilberryline/v1\nservices: {a: {routes: {all: {}}, targets: {a: {address: '127.0.0.1:1'}}}}\n"
+	declared := compile(services + "callers: {phone: {networks: {10.0.0.0/8: true}}}\n")
+	is := is.New(t)
+	is.Equal(Diff(declared, compile(open)).HarmfulChanges(HarmOpen), []string{"no callers are declared any more: all clients are accepted by all services"})
+	emptied := Diff(declared, compile(open+"callers: {}\n"))
+	is.Equal(len(emptied.HarmfulChanges(HarmOpen)), 0)
+	is.True(len(emptied.HarmfulChanges(HarmCutOff)) > 0)
+	is.Equal(len(Diff(compile(open), compile(open)).Sites), 0)
+}
+
 func TestDiffOfEqualTreesIsEmpty(t *testing.T) {
 	is := is.New(t)
 	p := Diff(snapshots(t, example(t)), snapshots(t, example(t)))
