Leave relays with an old confirmation sooner

Cause, traced: the watching host was cut off at 9.0 s, and the store answered few of the others. The relays found no source; the hosts behind them, one of which the store did answer (it watched it from 12.26 s), stayed until 11.36 s, 0.8 of the propagation limit after the last confirmation. With three levels more hosts are behind relays than with two.

Change: a relay of the region is left after 0.55 of the limit, one of the data centre after 0.65.

--- a/internal/registry/crossing_test.go
+++ b/internal/registry/crossing_test.go
@@ -294,3 +294,36 @@
 		})
 	}
 }
+
+// The host that watches the store and the other relay of its region were cut off, and the store turned away all others but
+// one far down. Hosts behind the relays stayed with them for most of the propagation limit, that one too, so that withdrawn
+// routes were served by the others (i-deaf-hosts, seed 5). The test runs on simulated time.
+func TestHostBehindRelaysTakesOverInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newWideFleet(t, 120, 120)
+		f.start()
+		f.awaitState()
+		time.Sleep(10 * time.Second) // until it has settled who follows whom
+		ranking := f.hosts[f.order[0]].ranking()
+		lost, served := ranking[:relaysPerRegion], ""
+		for _, id := range ranking {
+			if f.places[id].Region == "r0" && f.hosts[id].Freshness().Hops == 2 {
+				served = id
+			}
+		}
+		is.New(t).True(served != "")
+		for _, id := range ranking {
+			f.store.refuse(id, id != served)
+			for _, cut := range lost {
+				f.net.Blackhole(cut, id)
+			}
+		}
+		for _, id := range lost {
+			f.cancel[id]()
+			delete(f.hosts, id)
+		}
+		took := f.spread(2)
+		t.Logf("all hosts know the change after %s", took)
+		is.New(t).True(took < defaultPropagationLimit)
+	})
+}
--- a/internal/registry/follow.go
+++ b/internal/registry/follow.go
@@ -85,7 +85,10 @@
 // checkSource returns an error when the sender of the update must not be followed any longer.
 func (r *Registry) checkSource(b Batch, asRelay bool, now time.Time) error {
 	limit := r.timing.staleAfter
-	if asRelay {
+	switch {
+	case asRelay && (b.Direct || b.Hops == 1):
+		limit = r.timing.regionRelayStaleAfter
+	case asRelay:
 		limit = r.timing.relayStaleAfter
 	}
 	switch {
--- a/internal/registry/timing.go
+++ b/internal/registry/timing.go
@@ -17,9 +17,11 @@
 	updateTimeout time.Duration
 	// staleAfter is the age of a source's last confirmation by the store above which a follower leaves it.
 	staleAfter time.Duration
-	// relayStaleAfter is the same limit for a followed relay. It gives the relay time to find another source, which the
-	// relay looks for after staleAfter or updateTimeout.
-	relayStaleAfter time.Duration
+	// regionRelayStaleAfter is the same limit for a followed relay of the region, and relayStaleAfter for one of the data
+	// centre. They give the relays time to find another source, which a relay of the region looks for after staleAfter or
+	// updateTimeout. The store may serve only hosts behind the relays, so that these must not wait for long.
+	regionRelayStaleAfter time.Duration
+	relayStaleAfter       time.Duration
 	// watchInterval is the shortest time between two calls for changes. Backend servers renew their entries all the
 	// time, so a shorter interval would only cause more calls.
 	watchInterval time.Duration
@@ -55,21 +57,22 @@
 func newTiming(propagation, targetHeartbeat, reregistration time.Duration) timing {
 	heartbeat := propagation * 3 / 20
 	return timing{
-		heartbeat:            heartbeat,
-		updateTimeout:        3 * heartbeat,
-		staleAfter:           propagation / 2,
-		relayStaleAfter:      propagation * 4 / 5,
-		watchInterval:        propagation / 5,
-		watchWait:            propagation / 8,
-		slowCallTimeout:      2 * propagation,
-		sourceCooldown:       3 * propagation,
-		unresponsiveCooldown: propagation,
-		queryTimeout:         propagation / 8,
-		quickQueryTimeout:    propagation / 20,
-		searchStagger:        propagation / 40,
-		betterSourceInterval: propagation * 3 / 2,
-		minOutage:            targetHeartbeat * 5 / 3,
-		removalDelay:         reregistration + reregistration/20,
+		heartbeat:             heartbeat,
+		updateTimeout:         3 * heartbeat,
+		staleAfter:            propagation / 2,
+		regionRelayStaleAfter: propagation * 11 / 20,
+		relayStaleAfter:       propagation * 13 / 20,
+		watchInterval:         propagation / 5,
+		watchWait:             propagation / 8,
+		slowCallTimeout:       2 * propagation,
+		sourceCooldown:        3 * propagation,
+		unresponsiveCooldown:  propagation,
+		queryTimeout:          propagation / 8,
+		quickQueryTimeout:     propagation / 20,
+		searchStagger:         propagation / 40,
+		betterSourceInterval:  propagation * 3 / 2,
+		minOutage:             targetHeartbeat * 5 / 3,
+		removalDelay:          reregistration + reregistration/20,
 	}
 }
 
